Add the design page, the workspace, shared types and core contracts

Cause: the repository is empty; several people need fixed interfaces before they can work side by side. Ruled out: one large module (its go.mod would be a constant merge conflict and would let packages reach into each other); protoc (not installable through the Go module proxy), replaced by a small generator over Go libraries. Before: nothing. Conclusion: docs/design.md is the contract; each core has its typed events and effects in events.go.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+SHELL := /bin/bash
+TOOLS := .bin/gofumpt .bin/staticcheck .bin/protogen
+GO_FILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
+MODULES = $(shell sed -n 's/^\t\.\/\(.*\)$$/\1/p' go.work)
+
+.PHONY: build test demo check format generate tidy tools
+
+build: ## builds the programs into .bin
+	mkdir -p .bin
+	go build -o .bin/ ./apps/...
+
+test: ## runs all tests with the race detector
+	scripts/test.sh
+
+demo: build ## serves jobs end to end through separate processes
+	scripts/demo.sh
+
+check: tools ## formatter and linters
+	@unformatted=$$(.bin/gofumpt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+	go vet work
+	.bin/staticcheck $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+format: tools
+	.bin/gofumpt -w $(GO_FILES)
+
+generate: tools ## rebuilds the protobuf code
+	set -e; for f in $$(git ls-files '*.proto'); do .bin/protogen $$f; done
+
+tidy:
+	set -e; for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy); done
+
+tools: $(TOOLS)
+
+$(TOOLS): tools/go.mod tools/protogen/main.go
+	mkdir -p .bin
+	cd tools && GOWORK=off go build -o ../.bin/ ./protogen honnef.co/go/tools/cmd/staticcheck mvdan.cc/gofumpt
+	touch $(TOOLS)
--- /dev/null
+++ b/apps/hawthornd/main.go
@@ -0,0 +1,4 @@
+// Command hawthornd is an entry instance.
+package main
+
+func main() {}
--- /dev/null
+++ b/claims/events.go
@@ -0,0 +1,129 @@
+package claims
+
+import (
+	"hawthornshore.example/structs"
+)
+
+// RequestID names one waiting request of a caller or of a forwarding instance.
+type RequestID uint64
+
+// Digest identifies the body of a submission. Two submissions with one job ID
+// and different digests are not the same job.
+type Digest uint64
+
+// Event is an input of the core.
+type Event interface{ isEvent() }
+
+// Effect is an output of the core, to be carried out by its owner.
+type Effect interface{ isEffect() }
+
+// Submit brings a submission, first or repeated, that this instance owns.
+type Submit struct {
+	Request RequestID
+	Job     structs.Job
+	Digest  Digest
+}
+
+// Query asks for the state of a job without submitting it.
+type Query struct {
+	Request RequestID
+	JobID   structs.JobID
+}
+
+// Cancel asks to stop a job. The request is answered like a Query once the job
+// has finished.
+type Cancel struct {
+	Request RequestID
+	JobID   structs.JobID
+}
+
+// Abandon says that a waiting request has gone away.
+type Abandon struct{ Request RequestID }
+
+// JobAdmitted says that the dispatch core has a place for the job.
+type JobAdmitted struct{ JobID structs.JobID }
+
+// JobFinished brings the job's one answer.
+type JobFinished struct{ Answer structs.Answer }
+
+// CopyAcked says that the backup holds the copy of a claim.
+type CopyAcked struct {
+	Peer  string
+	JobID structs.JobID
+}
+
+// CopyReceived brings a claim or an answer from the owner that this instance
+// backs up.
+type CopyReceived struct {
+	Peer string
+	Copy Copy
+}
+
+// MembersChanged brings the agreed members of the data centre, this instance
+// included, and the epoch of that agreement. Epochs only grow.
+type MembersChanged struct {
+	Epoch   uint64
+	Members []string
+}
+
+// LeaseChanged says whether this instance may act as an owner.
+type LeaseChanged struct{ Held bool }
+
+// Tick lets the core act on timers; it is due at NextWake.
+type Tick struct{}
+
+func (Submit) isEvent()         {}
+func (Query) isEvent()          {}
+func (Cancel) isEvent()         {}
+func (Abandon) isEvent()        {}
+func (JobAdmitted) isEvent()    {}
+func (JobFinished) isEvent()    {}
+func (CopyAcked) isEvent()      {}
+func (CopyReceived) isEvent()   {}
+func (MembersChanged) isEvent() {}
+func (LeaseChanged) isEvent()   {}
+func (Tick) isEvent()           {}
+
+// Copy is what the backup keeps of a job.
+type Copy struct {
+	JobID          structs.JobID
+	Digest         Digest
+	DeadlineUnixMS int64
+	Answer         *structs.Answer // nil while the job is not finished
+}
+
+// Admit asks the dispatch core for a decision on a new job.
+type Admit struct{ Job structs.Job }
+
+// Release tells the dispatch core that the claim is held.
+type Release struct{ JobID structs.JobID }
+
+// CancelJob tells the dispatch core to stop a job.
+type CancelJob struct{ JobID structs.JobID }
+
+// SendCopy sends a claim or an answer to the backup. CopyAcked is expected for
+// copies without an answer.
+type SendCopy struct {
+	Peer string
+	Copy Copy
+}
+
+// Reply answers one waiting request.
+type Reply struct {
+	Request RequestID
+	Answer  structs.Answer
+}
+
+// ClaimUncopied reports that a job was released without the backup's
+// acknowledgement.
+type ClaimUncopied struct {
+	JobID structs.JobID
+	Peer  string
+}
+
+func (Admit) isEffect()         {}
+func (Release) isEffect()       {}
+func (CancelJob) isEffect()     {}
+func (SendCopy) isEffect()      {}
+func (Reply) isEffect()         {}
+func (ClaimUncopied) isEffect() {}
--- /dev/null
+++ b/emulator/doc.go
@@ -0,0 +1,2 @@
+// Package emulator is a stand-in for a target.
+package emulator
--- /dev/null
+++ b/experiment/doc.go
@@ -0,0 +1,2 @@
+// Package experiment generates load and compares policies.
+package experiment
--- /dev/null
+++ b/integration/doc.go
@@ -0,0 +1,2 @@
+// Package integration tests real processes behind a fault-injecting proxy.
+package integration
--- /dev/null
+++ b/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership decides which instances are alive. It does no I/O.
+package membership
--- /dev/null
+++ b/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring is the bounded ring buffer that joins goroutines.
+package ring
--- /dev/null
+++ b/server/doc.go
@@ -0,0 +1,2 @@
+// Package server joins the cores to sockets, timers and files.
+package server
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads folders of INI files and the system configuration.
+package settings
--- /dev/null
+++ b/storage/doc.go
@@ -0,0 +1,2 @@
+// Package storage keeps the data folder of an instance.
+package storage
--- /dev/null
+++ b/targetapi/types.go
@@ -0,0 +1,65 @@
+// Package targetapi is the HTTP contract between entry instances and targets:
+// the JSON types and the client that entry instances use.
+package targetapi
+
+import "encoding/json"
+
+// Paths of a target's HTTP server. {id} is the text form of an AttemptID.
+const (
+	PathAttempt   = "/v1/attempts/{id}"           // PUT starts, GET asks
+	PathTombstone = "/v1/attempts/{id}/tombstone" // POST
+	PathCancel    = "/v1/attempts/{id}/cancel"    // POST
+)
+
+// PathTargets is where targets announce themselves to an entry instance (POST).
+const PathTargets = "/v1/targets"
+
+// IncarnationHeader carries the target incarnation that a request is meant for.
+const IncarnationHeader = "Hawthorn-Target-Incarnation"
+
+// StartRequest is the body of a start.
+type StartRequest struct {
+	Class      string          `json:"class"`
+	Payload    json.RawMessage `json:"payload,omitempty"`
+	DeclaredMS int64           `json:"declared_ms"`
+	// StartWithinMS is how long after receipt the target may begin the task.
+	StartWithinMS int64 `json:"start_within_ms"`
+}
+
+// AttemptState is what a target knows of an attempt.
+type AttemptState string
+
+// States of an attempt. A start is answered with a stream of JSON lines, one
+// AttemptReport each: accepted, then running at every RunningInterval, then
+// done or failed; or a single refused.
+const (
+	AttemptAccepted AttemptState = "accepted"
+	AttemptRunning  AttemptState = "running"
+	AttemptDone     AttemptState = "done"
+	AttemptFailed   AttemptState = "failed"
+	// AttemptRefused means that this incarnation has not started the attempt
+	// and never will.
+	AttemptRefused AttemptState = "refused"
+	// AttemptUnheardOf means that this incarnation has no record of the attempt.
+	AttemptUnheardOf AttemptState = "unheard_of"
+)
+
+// AttemptReport is one line of a start's answer, and the answer of the other
+// calls.
+type AttemptReport struct {
+	AttemptID   string          `json:"attempt_id"`
+	Incarnation string          `json:"incarnation"`
+	State       AttemptState    `json:"state"`
+	Cause       string          `json:"cause,omitempty"` // of a refusal: busy, leaving, tombstone, incarnation
+	Message     string          `json:"message,omitempty"`
+	Output      json.RawMessage `json:"output,omitempty"`
+	RunMS       int64           `json:"run_ms,omitempty"`
+}
+
+// AnnounceReply answers an announcement.
+type AnnounceReply struct {
+	Instance string `json:"instance"`
+	Manager  string `json:"manager"` // the instance that manages the target's slots
+	Message  string `json:"message,omitempty"`
+}
+
--- /dev/null
+++ b/tools/protogen/main.go
@@ -0,0 +1,64 @@
+// Command protogen compiles a .proto file and writes the Go code for its
+// messages next to it. It needs no protoc: the compiler and the generator are
+// both Go libraries from the module proxy.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/bufbuild/protocompile"
+	"google.golang.org/protobuf/cmd/protoc-gen-go/internal_gengo"
+	"google.golang.org/protobuf/compiler/protogen"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/pluginpb"
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: protogen FILE.proto")
+		os.Exit(2)
+	}
+	if err := generate(os.Args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, "protogen:", err)
+		os.Exit(1)
+	}
+}
+
+// generate writes FILE.pb.go into the folder of the given file.
+func generate(path string) error {
+	dir, name := filepath.Split(path)
+	compiler := protocompile.Compiler{
+		Resolver:       &protocompile.SourceResolver{ImportPaths: []string{dir}},
+		SourceInfoMode: protocompile.SourceInfoStandard,
+	}
+	files, err := compiler.Compile(context.Background(), name)
+	if err != nil {
+		return err
+	}
+	parameter := "paths=source_relative"
+	request := &pluginpb.CodeGeneratorRequest{
+		FileToGenerate: []string{name},
+		Parameter:      &parameter,
+		ProtoFile:      []*descriptorpb.FileDescriptorProto{protodesc.ToFileDescriptorProto(files[0])},
+	}
+	plugin, err := protogen.Options{}.New(request)
+	if err != nil {
+		return err
+	}
+	for _, file := range plugin.Files {
+		if file.Generate {
+			internal_gengo.GenerateFile(plugin, file)
+		}
+	}
+	for _, out := range plugin.Response().GetFile() {
+		target := filepath.Join(dir, out.GetName())
+		if err := os.WriteFile(target, []byte(out.GetContent()), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the messages and the links between instances.
+package wire
