--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -1,4 +1,104 @@
-// Command hawthornd is an entry instance.
+// Command hawthornd is an entry instance of hawthornshore.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"hawthornshore.example/server"
+	"hawthornshore.example/settings"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Settings   string        `required:"" type:"existingdir" help:"Folder with the INI files of this instance's settings."`
+	Config     string        `required:"" type:"existingdir" help:"Folder with the INI files of the first system configuration."`
+	Check      bool          `help:"Check both folders, report every error and exit."`
+	DrainDelay time.Duration `default:"0s" help:"How long a stopping instance reports that it is not ready before it refuses connections."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args,
+		kong.Name("hawthornd"),
+		kong.Description("Entry instance of hawthornshore: takes jobs from callers and starts their tasks on targets."))
+	if err := run(&args); err != nil {
+		fmt.Fprintln(os.Stderr, "hawthornd:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args *arguments) error {
+	daemon, daemonErr := settings.LoadDaemon(args.Settings)
+	system, _, systemErr := settings.LoadSystem(args.Config)
+	if daemonErr != nil || systemErr != nil {
+		for _, err := range []error{daemonErr, systemErr} {
+			if err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		}
+		return errors.New("the settings are not valid")
+	}
+	if args.Check {
+		fmt.Println("settings and configuration are valid")
+		return nil
+	}
+	options, err := serverOptions(args, &daemon)
+	if err != nil {
+		return err
+	}
+	options.Config = system
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return errors.Trace(server.New(options).Run(ctx))
+}
+
+// serverOptions opens the listeners and translates the settings.
+func serverOptions(args *arguments, daemon *settings.Daemon) (server.Options, error) {
+	level, err := zerolog.ParseLevel(daemon.Instance.LogLevel)
+	if err != nil {
+		return server.Options{}, errors.Annotate(err, "log level")
+	}
+	callers, err := net.Listen("tcp", daemon.Instance.ListenHTTP)
+	if err != nil {
+		return server.Options{}, errors.Annotate(err, "listen for callers")
+	}
+	links, err := net.Listen("tcp", daemon.Instance.ListenLink)
+	if err != nil {
+		return server.Options{}, errors.Annotate(err, "listen for instances")
+	}
+	return server.Options{
+		Name:         daemon.Instance.Name,
+		DataCentre:   daemon.Instance.DataCentre,
+		Incarnation:  uuid.NewString(),
+		HTTPListener: callers,
+		LinkListener: links,
+		Peers:        peers(daemon),
+		Logger:       server.NewLogger(os.Stderr, level),
+		DrainDelay:   args.DrainDelay,
+		DrainTimeout: daemon.Limits.DrainTimeout,
+	}, nil
+}
+
+func peers(daemon *settings.Daemon) []server.Peer {
+	var peers []server.Peer
+	for _, peer := range daemon.Others() {
+		peers = append(peers, server.Peer{
+			Name:       peer.Name,
+			Address:    peer.Link,
+			DataCentre: peer.DataCentre,
+			Voter:      peer.Voter,
+		})
+	}
+	return peers
+}
--- /dev/null
+++ b/server/attempts.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/targetapi"
+)
+
+const (
+	// silenceTimeout is how long the stream of an acknowledged attempt may be
+	// silent: four reports in a row are missing.
+	silenceTimeout = 4 * structs.RunningInterval
+	// resolveInterval is the pause between questions about one attempt.
+	resolveInterval = 100 * time.Millisecond
+	// resolveTimeout bounds one question on a new connection.
+	resolveTimeout = 500 * time.Millisecond
+	// cancelTimeout bounds the message that stops an attempt.
+	cancelTimeout = 2 * time.Second
+)
+
+// followAttempt sends a start, follows it and reports its end.
+func (s *Server) followAttempt(e dispatch.StartAttempt) {
+	defer s.attempts.done()
+	call := targetapi.StartCall{
+		Attempt: e.Attempt,
+		Request: targetapi.StartRequest{
+			Class:         e.Class,
+			Payload:       e.Task.Payload,
+			DeclaredMS:    e.Task.DeclaredMS,
+			StartWithinMS: max(time.Until(e.Deadline).Milliseconds(), 0),
+		},
+		AckTimeout:     structs.StartAckTimeout,
+		SilenceTimeout: silenceTimeout,
+		OnAccepted: func() {
+			s.post(input{dispatch: dispatch.AttemptAccepted{Attempt: e.Attempt}})
+		},
+	}
+	result := s.targets.Start(s.attemptOf, e.Target, call)
+	if result.Outcome == targetapi.StartSilent {
+		s.metrics.attemptSilent.Inc()
+		s.log.Warn().Str("event", "attempt_silent").Str("attempt_id", e.Attempt.String()).
+			Str("step", "start").Str("peer", e.Target.TargetID).Err(result.Err).Send()
+	}
+	s.post(input{dispatch: endOfStart(e.Attempt, &result)})
+}
+
+func endOfStart(attempt structs.AttemptID, result *targetapi.StartResult) dispatch.Event {
+	switch result.Outcome {
+	case targetapi.StartNotSent:
+		return dispatch.AttemptRefused{Attempt: attempt, Cause: dispatch.RefusedNotSent}
+	case targetapi.StartRefused, targetapi.StartDone, targetapi.StartFailed:
+		return endOfReport(attempt, &result.Report)
+	default:
+		return dispatch.AttemptSilent{Attempt: attempt}
+	}
+}
+
+// endOfReport translates a report that ends an attempt; nil for other states.
+func endOfReport(attempt structs.AttemptID, report *targetapi.AttemptReport) dispatch.Event {
+	switch report.State {
+	case targetapi.AttemptDone:
+		return dispatch.AttemptDone{Attempt: attempt, Output: report.Output, RunMS: report.RunMS}
+	case targetapi.AttemptFailed:
+		return dispatch.AttemptFailed{Attempt: attempt, Message: report.Message, RunMS: report.RunMS}
+	case targetapi.AttemptRefused:
+		return dispatch.AttemptRefused{Attempt: attempt, Cause: dispatch.RefusalCause(report.Cause)}
+	}
+	return nil
+}
+
+// resolveAttempt asks a target about a silent attempt on new connections until
+// it has an end or the time to give up has come.
+func (s *Server) resolveAttempt(e dispatch.ResolveAttempt) {
+	defer s.attempts.done()
+	for time.Now().Before(e.GiveUp) {
+		if end := s.resolveOnce(e); end != nil {
+			s.post(input{dispatch: end})
+			return
+		}
+		select {
+		case <-time.After(resolveInterval):
+		case <-s.attemptOf.Done():
+			return
+		}
+	}
+	s.post(input{dispatch: dispatch.AttemptUnresolved{Attempt: e.Attempt}})
+}
+
+func (s *Server) resolveOnce(e dispatch.ResolveAttempt) dispatch.Event {
+	ctx, cancel := context.WithTimeout(s.attemptOf, resolveTimeout)
+	defer cancel()
+	report, err := s.targets.Resolve(ctx, e.Target, e.Attempt)
+	if err != nil {
+		s.log.Debug().Str("event", "resolve_failed").Str("attempt_id", e.Attempt.String()).
+			Str("step", "resolve").Str("peer", e.Target.TargetID).Err(err).Send()
+		return nil
+	}
+	return endOfReport(e.Attempt, &report)
+}
+
+// cancelAttempt tells a target to stop an attempt.
+func (s *Server) cancelAttempt(e dispatch.CancelAttempt) {
+	defer s.attempts.done()
+	ctx, cancel := context.WithTimeout(s.attemptOf, cancelTimeout)
+	defer cancel()
+	if _, err := s.targets.Cancel(ctx, e.Target, e.Attempt); err != nil {
+		s.log.Debug().Str("event", "cancel_failed").Str("attempt_id", e.Attempt.String()).
+			Str("step", "cancel").Str("peer", e.Target.TargetID).Err(err).Send()
+	}
+}
+
+// reportMismatch counts a report that names another attempt or incarnation.
+func (s *Server) reportMismatch(target structs.TargetRef, want structs.AttemptID, got targetapi.AttemptReport) {
+	s.metrics.reportMismatch.Inc()
+	s.log.Error().Str("event", "report_mismatch").Str("peer", target.TargetID).
+		Str("attempt_id", want.String()).Str("report_attempt_id", got.AttemptID).Send()
+}
--- /dev/null
+++ b/server/decision.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/ring"
+)
+
+const (
+	// inputRingSize is the number of events that may wait for the decision loop.
+	inputRingSize = 1 << 16
+	// idleWake is the longest pause of the decision loop without a timer event.
+	idleWake = time.Second
+)
+
+// input is one event for one of the cores, or a function to run in the loop.
+type input struct {
+	claims   claims.Event
+	dispatch dispatch.Event
+	inspect  func(*claims.Core, *dispatch.Core)
+}
+
+// effects carries out what the cores decide. Its methods must not block.
+type effects interface {
+	claimsEffect(now time.Time, effect claims.Effect)
+	dispatchEffect(now time.Time, effect dispatch.Effect)
+}
+
+// decider owns the claims and dispatch cores.
+type decider struct {
+	claims   *claims.Core
+	dispatch *dispatch.Core
+	in       *ring.Ring[input]
+	effects  effects
+}
+
+// post queues an event and waits while the ring is full.
+func (d *decider) post(ctx context.Context, in input) error {
+	return d.in.PushWait(ctx, in)
+}
+
+// decisionLoop steps the cores until ctx ends.
+func (d *decider) decisionLoop(ctx context.Context) error {
+	timer := time.NewTimer(idleWake)
+	defer timer.Stop()
+	var batch []input
+	for {
+		select {
+		case <-d.in.Ready():
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		batch = d.in.PopAll(batch[:0])
+		for i := range batch {
+			d.step(time.Now(), batch[i])
+			batch[i] = input{}
+		}
+		now := time.Now()
+		d.tick(now)
+		timer.Reset(d.untilWake(now))
+	}
+}
+
+func (d *decider) step(now time.Time, in input) {
+	if in.claims != nil {
+		d.claims.Step(now, in.claims)
+	}
+	if in.dispatch != nil {
+		d.dispatch.Step(now, in.dispatch)
+	}
+	if in.inspect != nil {
+		in.inspect(d.claims, d.dispatch)
+	}
+	d.settle(now)
+}
+
+// tick steps the cores whose timers are due.
+func (d *decider) tick(now time.Time) {
+	if wake, ok := d.claims.NextWake(); ok && !wake.After(now) {
+		d.claims.Step(now, claims.Tick{})
+	}
+	if wake, ok := d.dispatch.NextWake(); ok && !wake.After(now) {
+		d.dispatch.Step(now, dispatch.Tick{})
+	}
+	d.settle(now)
+}
+
+// settle hands effects between the cores until neither has any left.
+func (d *decider) settle(now time.Time) {
+	for {
+		fromClaims := d.claims.Ready()
+		for _, effect := range fromClaims {
+			d.claimsEffect(now, effect)
+		}
+		fromDispatch := d.dispatch.Ready()
+		for _, effect := range fromDispatch {
+			d.dispatchEffect(now, effect)
+		}
+		if len(fromClaims) == 0 && len(fromDispatch) == 0 {
+			return
+		}
+	}
+}
+
+func (d *decider) claimsEffect(now time.Time, effect claims.Effect) {
+	switch e := effect.(type) {
+	case claims.Admit:
+		d.dispatch.Step(now, dispatch.AdmitJob{Job: e.Job})
+	case claims.Release:
+		d.dispatch.Step(now, dispatch.ReleaseJob{JobID: e.JobID})
+	case claims.CancelJob:
+		d.dispatch.Step(now, dispatch.CancelJob{JobID: e.JobID})
+	default:
+		d.effects.claimsEffect(now, effect)
+	}
+}
+
+func (d *decider) dispatchEffect(now time.Time, effect dispatch.Effect) {
+	switch e := effect.(type) {
+	case dispatch.JobAdmitted:
+		d.claims.Step(now, claims.JobAdmitted{JobID: e.JobID})
+	case dispatch.JobFinished:
+		d.claims.Step(now, claims.JobFinished{Answer: e.Answer})
+		d.effects.dispatchEffect(now, effect)
+	default:
+		d.effects.dispatchEffect(now, effect)
+	}
+}
+
+// untilWake returns the time until the next timer event, at most idleWake.
+func (d *decider) untilWake(now time.Time) time.Duration {
+	wait := idleWake
+	if wake, ok := d.claims.NextWake(); ok {
+		wait = min(wait, wake.Sub(now))
+	}
+	if wake, ok := d.dispatch.NextWake(); ok {
+		wait = min(wait, wake.Sub(now))
+	}
+	return max(wait, 0)
+}
--- /dev/null
+++ b/server/drain.go
@@ -0,0 +1,29 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hawthornshore.example/dispatch"
+)
+
+// drain carries out a planned stop: the balancer is told first, then requests
+// in flight are finished.
+func (s *Server) drain() {
+	s.draining.Store(true)
+	s.log.Info().Str("event", "drain_started").Send()
+	time.Sleep(s.options.DrainDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainTimeout)
+	defer cancel()
+	s.post(input{dispatch: dispatch.Drain{}})
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.Error().Str("event", "drain_timeout").Str("step", "close callers").Err(err).Send()
+	}
+	if err := s.requests.wait(ctx); err != nil {
+		s.log.Error().Str("event", "drain_timeout").Str("step", "finish requests").Err(err).Send()
+	}
+	if err := s.attempts.wait(ctx); err != nil {
+		s.log.Error().Str("event", "drain_timeout").Str("step", "finish attempts").Err(err).Send()
+	}
+	s.log.Info().Str("event", "drain_finished").Send()
+}
--- /dev/null
+++ b/server/effects.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+// claimsEffect carries out an effect of the claims core.
+func (s *Server) claimsEffect(_ time.Time, effect claims.Effect) {
+	switch e := effect.(type) {
+	case claims.SendCopy:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_ClaimCopy{ClaimCopy: copyToWire(e.Copy)}})
+	case claims.Reply:
+		s.waiters.answer(e.Request, e.Answer)
+	case claims.ClaimUncopied:
+		s.metrics.claimUncopied.Inc()
+		s.log.Debug().Str("event", "claim_uncopied").Str("job_id", e.JobID.String()).
+			Str("step", "copy").Str("peer", e.Peer).Send()
+	}
+}
+
+// dispatchEffect carries out an effect of the dispatch core.
+func (s *Server) dispatchEffect(now time.Time, effect dispatch.Effect) {
+	switch e := effect.(type) {
+	case dispatch.StartAttempt:
+		s.metrics.starts.Inc()
+		s.attempts.add()
+		go s.followAttempt(e)
+	case dispatch.ResolveAttempt:
+		s.metrics.resolves.Inc()
+		s.attempts.add()
+		go s.resolveAttempt(e)
+	case dispatch.CancelAttempt:
+		s.attempts.add()
+		go s.cancelAttempt(e)
+	case dispatch.JobFinished:
+		s.jobFinished(&e.Answer)
+	case dispatch.RequestSlots:
+		s.metrics.slotRequests.Inc()
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotRequest{SlotRequest: &wire.SlotRequest{
+			Class: e.Class, Count: int32(e.Count),
+		}}})
+	case dispatch.GrantSlots:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotGrant{SlotGrant: loansToWire(now, e.Slots)}})
+	case dispatch.ReturnSlot:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotReturn{SlotReturn: &wire.SlotReturn{
+			TargetId: e.TargetID, Class: e.Class, Failed: e.Failed, RunMs: e.RunMS,
+		}}})
+	case dispatch.TargetEjected:
+		s.log.Warn().Str("event", "target_ejected").Str("target", e.TargetID).Str("cause", e.Cause).Send()
+	case dispatch.TargetRestored:
+		s.log.Info().Str("event", "target_restored").Str("target", e.TargetID).Send()
+	}
+}
+
+func (s *Server) jobFinished(answer *structs.Answer) {
+	s.metrics.jobFinished(answer)
+	if answer.Outcome == structs.OutcomeComplete {
+		return
+	}
+	s.log.Info().Str("event", "job_finished").Str("job_id", answer.JobID.String()).
+		Str("outcome", string(answer.Outcome)).Str("reason", string(answer.Reason)).
+		Str("message", answer.Message).Send()
+}
+
+// send queues a one-way message to a peer. A message that cannot be queued is
+// lost like one on a broken link; every exchange has its own timeout.
+func (s *Server) send(peer string, message *wire.Envelope) {
+	if err := s.mesh.Send(peer, message); err != nil {
+		s.metrics.sendFailed.Inc()
+		s.log.Debug().Str("event", "send_failed").Str("step", "send").Str("peer", peer).Err(err).Send()
+	}
+}
--- /dev/null
+++ b/server/http.go
@@ -0,0 +1,143 @@
+package server
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"hawthornshore.example/structs"
+	"hawthornshore.example/targetapi"
+	"hawthornshore.example/wire"
+)
+
+// maxAnnouncementBytes bounds the body of a target's announcement.
+const maxAnnouncementBytes = 64 << 10
+
+// routes returns the handler of the instance's HTTP listener.
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/jobs", s.submitJob)
+	mux.HandleFunc("GET /v1/jobs/{id}", s.jobByID(wire.JobAction_JOB_ACTION_QUERY))
+	mux.HandleFunc("DELETE /v1/jobs/{id}", s.jobByID(wire.JobAction_JOB_ACTION_CANCEL))
+	mux.HandleFunc("POST "+targetapi.PathTargets, s.announceTarget)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /metrics", s.metrics.serve)
+	return mux
+}
+
+// ready tells the balancer whether to send new requests here.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.Load() {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// submitJob answers POST /v1/jobs.
+func (s *Server) submitJob(w http.ResponseWriter, r *http.Request) {
+	s.requests.add()
+	defer s.requests.done()
+	start := time.Now()
+	job, digest, err := DecodeJob(http.MaxBytesReader(w, r.Body, structs.MaxBodyBytes))
+	if err != nil {
+		s.refuse(w, job.ID, err)
+		return
+	}
+	sub := &submission{
+		action:     wire.JobAction_JOB_ACTION_SUBMIT,
+		job:        job,
+		digest:     digest,
+		answerTime: answerTime(wire.JobAction_JOB_ACTION_SUBMIT, &job),
+	}
+	answer := s.route(r.Context(), sub)
+	s.metrics.jobAnswered(&job, &answer, time.Since(start))
+	writeAnswer(w, &answer)
+}
+
+// jobByID answers queries and cancellations.
+func (s *Server) jobByID(action wire.JobAction) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.requests.add()
+		defer s.requests.done()
+		id, err := structs.ParseJobID(r.PathValue("id"))
+		if err != nil {
+			s.refuse(w, id, err)
+			return
+		}
+		job := structs.Job{ID: id, DataCentre: r.URL.Query().Get("data_centre")}
+		if job.DataCentre == "" {
+			s.refuse(w, id, structs.BadRequest(structs.ReasonBadField, "the query parameter data_centre is missing"))
+			return
+		}
+		answer := s.route(r.Context(), &submission{action: action, job: job, answerTime: answerTime(action, &job)})
+		writeAnswer(w, &answer)
+	}
+}
+
+// refuse answers a request that no owner has seen. Every copy of a body that
+// is refused here is refused, so not-run is true.
+func (s *Server) refuse(w http.ResponseWriter, id structs.JobID, err error) {
+	answer := structs.Answer{JobID: id, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonMalformed, Message: err.Error()}
+	var request *structs.RequestError
+	if errors.As(err, &request) {
+		answer.Reason = request.Reason
+		answer.Message = request.Message
+	}
+	s.metrics.badRequest(answer.Reason)
+	writeAnswer(w, &answer)
+}
+
+func writeAnswer(w http.ResponseWriter, answer *structs.Answer) {
+	writeJSON(w, answer.StatusCode(), answer)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the caller has gone away
+}
+
+// announceTarget answers POST /v1/targets and hands the announcement to the
+// target's slot manager.
+func (s *Server) announceTarget(w http.ResponseWriter, r *http.Request) {
+	var announcement structs.Announcement
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
+	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+		writeJSON(w, http.StatusBadRequest, targetapi.AnnounceReply{Instance: s.options.Name, Message: "malformed announcement: " + err.Error()})
+		return
+	}
+	if err := s.checkAnnouncement(&announcement); err != nil {
+		writeJSON(w, http.StatusBadRequest, targetapi.AnnounceReply{Instance: s.options.Name, Message: err.Error()})
+		return
+	}
+	manager := s.places.manager(announcement.TargetID)
+	if err := s.passAnnouncement(manager, &announcement); err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, targetapi.AnnounceReply{Instance: s.options.Name, Manager: manager, Message: err.Error()})
+		return
+	}
+	writeJSON(w, http.StatusOK, targetapi.AnnounceReply{Instance: s.options.Name, Manager: manager})
+}
+
+func (s *Server) checkAnnouncement(a *structs.Announcement) error {
+	if a.TargetID == "" || a.Incarnation == "" || a.Address == "" || len(a.TargetID) > structs.MaxNameLength {
+		return structs.BadRequest(structs.ReasonBadField, "target_id (1 to %d bytes), incarnation and address are required", structs.MaxNameLength)
+	}
+	if a.DataCentre != s.options.DataCentre {
+		return structs.BadRequest(structs.ReasonUnknownHome, "target of data centre %q announced itself in %q", a.DataCentre, s.options.DataCentre)
+	}
+	switch a.State {
+	case structs.TargetStarting, structs.TargetReady, structs.TargetLeaving:
+	default:
+		return structs.BadRequest(structs.ReasonBadField, "state %q is not starting, ready or leaving", a.State)
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		return structs.BadRequest(structs.ReasonBadField, "slots must be 1 to %d", maxSlots)
+	}
+	return nil
+}
+
+// maxSlots bounds the slots of one target.
+const maxSlots = 4096
--- /dev/null
+++ b/server/jobs.go
@@ -0,0 +1,173 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+const (
+	// answerMargin is how long after a job's deadline an instance still waits
+	// for the owner's answer.
+	answerMargin = 500 * time.Millisecond
+	// queryTimeout bounds a query or cancellation.
+	queryTimeout = 10 * time.Second
+	// forwardRetryInterval is the pause before the owner is asked again.
+	forwardRetryInterval = 50 * time.Millisecond
+)
+
+// errNotOwner means that the peer does not own the job ID by its own view.
+var errNotOwner = errors.New("instance does not own the job ID")
+
+// errMismatch means that an answer names another job than its request.
+var errMismatch = errors.New("answer names another job")
+
+// submission is a caller's request on its way to the owner.
+type submission struct {
+	action     wire.JobAction
+	job        structs.Job // only ID and DataCentre are set for queries and cancellations
+	digest     claims.Digest
+	answerTime time.Time // when the caller must be answered
+}
+
+// route gets the answer for a submission from the owner of its job ID.
+func (s *Server) route(ctx context.Context, sub *submission) structs.Answer {
+	owner, ok := s.places.owner(sub.job.ID, sub.job.DataCentre)
+	if !ok {
+		return structs.Answer{
+			JobID:   sub.job.ID,
+			Outcome: structs.OutcomeNotRun,
+			Reason:  structs.ReasonUnknownHome,
+			Message: fmt.Sprintf("data centre %q is not configured", sub.job.DataCentre),
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, sub.answerTime)
+	defer cancel()
+	if owner == s.options.Name {
+		return s.ask(ctx, sub)
+	}
+	return s.forward(ctx, owner, sub)
+}
+
+// ask gets the answer from this instance's own claims core.
+func (s *Server) ask(ctx context.Context, sub *submission) structs.Answer {
+	request, answers := s.waiters.add()
+	defer s.waiters.remove(request)
+	if err := s.decider.post(ctx, input{claims: sub.event(request)}); err != nil {
+		return unknownAnswer(sub.job.ID, structs.ReasonOwnerLost, "the owner is overloaded: "+err.Error())
+	}
+	select {
+	case answer := <-answers:
+		return answer
+	case <-ctx.Done():
+		s.post(input{claims: claims.Abandon{Request: request}})
+		return unknownAnswer(sub.job.ID, structs.ReasonDeadlinePassed, "no answer by the deadline")
+	}
+}
+
+func (sub *submission) event(request claims.RequestID) claims.Event {
+	switch sub.action {
+	case wire.JobAction_JOB_ACTION_QUERY:
+		return claims.Query{Request: request, JobID: sub.job.ID}
+	case wire.JobAction_JOB_ACTION_CANCEL:
+		return claims.Cancel{Request: request, JobID: sub.job.ID}
+	default:
+		return claims.Submit{Request: request, Job: sub.job, Digest: sub.digest}
+	}
+}
+
+// forward gets the answer from another instance. The owner recognizes a
+// repeated request by its job ID, so asking again after a lost link is safe.
+func (s *Server) forward(ctx context.Context, owner string, sub *submission) structs.Answer {
+	message := jobToWire(&sub.job, sub.digest)
+	message.Action = sub.action
+	request := &wire.Envelope{Body: &wire.Envelope_JobRequest{JobRequest: message}}
+	for {
+		answer, err := s.forwardOnce(ctx, owner, sub.job.ID, request)
+		if err == nil {
+			return answer
+		}
+		s.metrics.forwardFailed.Inc()
+		s.log.Debug().Str("event", "forward_failed").Str("job_id", sub.job.ID.String()).
+			Str("step", "forward").Str("peer", owner).Err(err).Send()
+		select {
+		case <-time.After(forwardRetryInterval):
+		case <-ctx.Done():
+			return unknownAnswer(sub.job.ID, structs.ReasonHomeUnreachable,
+				fmt.Sprintf("no answer from owner %s: %v", owner, err))
+		}
+		// The owner may have changed in the meantime.
+		if current, ok := s.places.owner(sub.job.ID, sub.job.DataCentre); ok {
+			owner = current
+		}
+		if owner == s.options.Name {
+			return s.ask(ctx, sub)
+		}
+	}
+}
+
+func (s *Server) forwardOnce(ctx context.Context, owner string, id structs.JobID, request *wire.Envelope) (structs.Answer, error) {
+	reply, err := s.mesh.Call(ctx, owner, request)
+	if err != nil {
+		return structs.Answer{}, err
+	}
+	answer, err := answerFromWire(reply.GetJobAnswer())
+	if err != nil {
+		return structs.Answer{}, err
+	}
+	if answer.JobID != id {
+		s.metrics.answerMismatch.Inc()
+		s.log.Error().Str("event", "answer_mismatch").Str("peer", owner).
+			Str("job_id", id.String()).Str("answer_job_id", answer.JobID.String()).Send()
+		return structs.Answer{}, errMismatch
+	}
+	return answer, nil
+}
+
+// handleJobRequest answers a forwarded request as the owner.
+func (s *Server) handleJobRequest(ctx context.Context, message *wire.JobRequest) (*wire.Envelope, error) {
+	job, err := jobFromWire(message)
+	if err != nil {
+		return nil, err
+	}
+	owner, ok := s.places.owner(job.ID, job.DataCentre)
+	if !ok || owner != s.options.Name {
+		return nil, errNotOwner
+	}
+	s.requests.add()
+	defer s.requests.done()
+	sub := &submission{
+		action:     message.GetAction(),
+		job:        job,
+		digest:     claims.Digest(message.GetDigest()),
+		answerTime: answerTime(message.GetAction(), &job),
+	}
+	ctx, cancel := context.WithDeadline(ctx, sub.answerTime)
+	defer cancel()
+	answer := s.ask(ctx, sub)
+	return &wire.Envelope{Body: &wire.Envelope_JobAnswer{JobAnswer: answerToWire(&answer)}}, nil
+}
+
+// answerTime returns when a request must be answered. A deadline that has
+// passed leaves a margin, because the answer of an earlier submission may be
+// known.
+func answerTime(action wire.JobAction, job *structs.Job) time.Time {
+	now := time.Now()
+	if action != wire.JobAction_JOB_ACTION_SUBMIT {
+		return now.Add(queryTimeout)
+	}
+	deadline := job.Deadline()
+	if deadline.Before(now) {
+		deadline = now
+	}
+	return deadline.Add(answerMargin)
+}
+
+func unknownAnswer(id structs.JobID, reason structs.Reason, message string) structs.Answer {
+	return structs.Answer{JobID: id, Outcome: structs.OutcomeUnknown, Reason: reason, Message: message}
+}
--- /dev/null
+++ b/server/messages.go
@@ -0,0 +1,104 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+// HandleMessage takes a one-way message of a peer.
+func (s *Server) HandleMessage(peer string, message *wire.Envelope) {
+	switch body := message.GetBody().(type) {
+	case *wire.Envelope_Heartbeat:
+		s.handleHeartbeat(peer, body.Heartbeat)
+	case *wire.Envelope_ClaimCopy:
+		s.handleClaimCopy(peer, body.ClaimCopy)
+	case *wire.Envelope_ClaimCopyAck:
+		s.handleClaimCopyAck(peer, body.ClaimCopyAck)
+	case *wire.Envelope_Announcement:
+		s.post(input{dispatch: dispatch.TargetSeen{Announcement: announcementFromWire(body.Announcement)}})
+	case *wire.Envelope_SlotRequest:
+		s.post(input{dispatch: dispatch.SlotsRequested{
+			Peer: peer, Class: body.SlotRequest.GetClass(), Count: int(body.SlotRequest.GetCount()),
+		}})
+	case *wire.Envelope_SlotGrant:
+		s.post(input{dispatch: dispatch.SlotsGranted{Peer: peer, Slots: loansFromWire(time.Now(), body.SlotGrant)}})
+	case *wire.Envelope_SlotReturn:
+		s.post(input{dispatch: dispatch.SlotReturned{
+			Peer: peer, TargetID: body.SlotReturn.GetTargetId(), Class: body.SlotReturn.GetClass(),
+			Failed: body.SlotReturn.GetFailed(), RunMS: body.SlotReturn.GetRunMs(),
+		}})
+	default:
+		s.log.Warn().Str("event", "message_unexpected").Str("peer", peer).
+			Str("type", fmt.Sprintf("%T", body)).Send()
+	}
+}
+
+// HandleCall answers a request of a peer.
+func (s *Server) HandleCall(ctx context.Context, peer string, request *wire.Envelope) (*wire.Envelope, error) {
+	switch body := request.GetBody().(type) {
+	case *wire.Envelope_JobRequest:
+		return s.handleJobRequest(ctx, body.JobRequest)
+	default:
+		return nil, &structs.StepError{Step: "serve call", Peer: peer, Err: fmt.Errorf("unexpected request %T", body)}
+	}
+}
+
+// LinkUp records that a peer can be reached.
+func (s *Server) LinkUp(peer *wire.Hello) {
+	s.places.setLive(peer.GetInstance(), true)
+	s.log.Info().Str("event", "link_up").Str("peer", peer.GetInstance()).
+		Str("data_centre", peer.GetDataCentre()).Str("incarnation", peer.GetIncarnation()).Send()
+	s.reviewTargets()
+}
+
+// LinkDown records that a peer cannot be reached.
+func (s *Server) LinkDown(peer string, cause error) {
+	s.places.setLive(peer, false)
+	s.log.Warn().Str("event", "link_down").Str("peer", peer).Str("step", "link").Err(cause).Send()
+	s.post(input{dispatch: dispatch.PeerLost{Peer: peer}})
+	s.reviewTargets()
+}
+
+// Heartbeat returns the body of the next heartbeat on a link.
+func (s *Server) Heartbeat() *wire.Heartbeat {
+	return &wire.Heartbeat{
+		ClockUnixMs:   time.Now().UnixMilli(),
+		ConfigVersion: s.options.Config.Version,
+		FreeSlots:     s.freeSlots.Load(),
+		Draining:      s.draining.Load(),
+	}
+}
+
+func (s *Server) handleHeartbeat(peer string, beat *wire.Heartbeat) {
+	if s.places.isNeighbour(peer) {
+		s.post(input{dispatch: dispatch.PeerSlots{Peer: peer, Free: int(beat.GetFreeSlots())}})
+	}
+}
+
+// handleClaimCopy stores a copy and acknowledges it.
+func (s *Server) handleClaimCopy(peer string, message *wire.ClaimCopy) {
+	c, err := copyFromWire(message)
+	if err != nil {
+		s.log.Error().Str("event", "claim_copy_malformed").Str("peer", peer).Err(err).Send()
+		return
+	}
+	s.post(input{claims: claims.CopyReceived{Peer: peer, Copy: c}})
+	if c.Answer == nil {
+		s.send(peer, &wire.Envelope{Body: &wire.Envelope_ClaimCopyAck{ClaimCopyAck: &wire.ClaimCopyAck{JobId: c.JobID[:]}}})
+	}
+}
+
+func (s *Server) handleClaimCopyAck(peer string, message *wire.ClaimCopyAck) {
+	id, err := jobIDFromWire(message.GetJobId())
+	if err != nil {
+		s.log.Error().Str("event", "claim_ack_malformed").Str("peer", peer).Err(err).Send()
+		return
+	}
+	s.post(input{claims: claims.CopyAcked{Peer: peer, JobID: id}})
+}
--- /dev/null
+++ b/server/metrics.go
@@ -0,0 +1,100 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+
+	"hawthornshore.example/structs"
+)
+
+// maxSeries bounds the label combinations of one metric, so that callers who
+// invent tenants cannot grow the memory. Further ones are counted as "other".
+const maxSeries = 4096
+
+// metrics are the instance's counters and histograms.
+type metrics struct {
+	set            *vm.Set
+	starts         *vm.Counter
+	resolves       *vm.Counter
+	attemptSilent  *vm.Counter
+	reportMismatch *vm.Counter
+	answerMismatch *vm.Counter
+	claimUncopied  *vm.Counter
+	forwardFailed  *vm.Counter
+	sendFailed     *vm.Counter
+	slotRequests   *vm.Counter
+
+	mu     sync.Mutex
+	series map[string]bool
+}
+
+func newMetrics() *metrics {
+	set := vm.NewSet()
+	return &metrics{
+		set:            set,
+		starts:         set.NewCounter("hawthorn_starts_total"),
+		resolves:       set.NewCounter("hawthorn_resolves_total"),
+		attemptSilent:  set.NewCounter("hawthorn_attempts_silent_total"),
+		reportMismatch: set.NewCounter("hawthorn_report_mismatches_total"),
+		answerMismatch: set.NewCounter("hawthorn_answer_mismatches_total"),
+		claimUncopied:  set.NewCounter("hawthorn_claims_uncopied_total"),
+		forwardFailed:  set.NewCounter("hawthorn_forwards_failed_total"),
+		sendFailed:     set.NewCounter("hawthorn_sends_failed_total"),
+		slotRequests:   set.NewCounter("hawthorn_slot_requests_total"),
+		series:         make(map[string]bool),
+	}
+}
+
+// serve writes the metrics in the text exposition format.
+func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
+	m.set.WritePrometheus(w)
+}
+
+// bounded returns the label value, or "other" once there are too many.
+func (m *metrics) bounded(label, value string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := label + "=" + value
+	if m.series[key] {
+		return value
+	}
+	if len(m.series) >= maxSeries {
+		return "other"
+	}
+	m.series[key] = true
+	return value
+}
+
+// jobAnswered records a caller's response time.
+func (m *metrics) jobAnswered(job *structs.Job, answer *structs.Answer, took time.Duration) {
+	class := m.bounded("class", job.Class)
+	tenant := m.bounded("tenant", job.Tenant)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`hawthorn_job_seconds{class=%q,outcome=%q}`, class, answer.Outcome)).Update(took.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`hawthorn_tenant_job_seconds{tenant=%q}`, tenant)).Update(took.Seconds())
+	if ideal := longestRun(answer); ideal > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`hawthorn_job_slowdown{class=%q}`, class)).Update(float64(took) / float64(ideal))
+	}
+}
+
+// longestRun returns the run time of the job's longest task.
+func longestRun(answer *structs.Answer) time.Duration {
+	var longest int64
+	for i := range answer.Results {
+		longest = max(longest, answer.Results[i].RunMS)
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+// jobFinished counts the outcomes that this instance decided as an owner.
+func (m *metrics) jobFinished(answer *structs.Answer) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hawthorn_jobs_finished_total{outcome=%q,reason=%q}`, answer.Outcome, answer.Reason)).Inc()
+}
+
+// badRequest counts a refusal of a malformed request.
+func (m *metrics) badRequest(reason structs.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hawthorn_bad_requests_total{reason=%q}`, reason)).Inc()
+}
--- /dev/null
+++ b/server/options.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"hawthornshore.example/structs"
+)
+
+// Peer is another entry instance.
+type Peer struct {
+	Name       string
+	Address    string // host:port of its link listener
+	DataCentre string
+	Voter      bool
+}
+
+// Options configures a Server. The listeners are closed by Run.
+type Options struct {
+	Name         string
+	DataCentre   string
+	Incarnation  string // new at each start of the process
+	HTTPListener net.Listener
+	LinkListener net.Listener
+	Peers        []Peer
+	Config       structs.SystemConfig
+	ClientTLS    *tls.Config
+	Logger       zerolog.Logger
+	// DrainDelay is how long a stopping instance reports that it is not ready
+	// before it refuses connections, so that the balancer takes it out first.
+	DrainDelay time.Duration
+	// DrainTimeout bounds the wait for requests in flight at a planned stop.
+	DrainTimeout time.Duration
+	// Policy selects the routing policy of the dispatch core; empty means the
+	// default.
+	Policy string
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,150 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/ring"
+	"hawthornshore.example/targetapi"
+	"hawthornshore.example/wire"
+)
+
+// readHeaderTimeout bounds the time a caller may take to send its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Server is one entry instance.
+type Server struct {
+	options Options
+	log     zerolog.Logger
+	decider *decider
+	mesh    *wire.Mesh
+	targets *targetapi.Client
+	places  *places
+	waiters *waiters
+	metrics *metrics
+	http    *http.Server
+
+	draining  atomic.Bool
+	freeSlots atomic.Int32
+	attempts  inflight // attempts being followed
+	requests  inflight // callers' requests in flight
+	attemptOf context.Context
+	stopAll   context.CancelFunc
+}
+
+// New returns a Server that starts work in Run.
+func New(options Options) *Server {
+	s := &Server{
+		options: options,
+		log:     options.Logger.With().Str("instance", options.Name).Logger(),
+		places:  newPlaces(options),
+		waiters: newWaiters(),
+		metrics: newMetrics(),
+	}
+	s.attemptOf, s.stopAll = context.WithCancel(context.Background())
+	s.targets = targetapi.NewClient(targetapi.Options{OnMismatch: s.reportMismatch})
+	s.decider = s.newDecider()
+	s.mesh = s.newMesh()
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	return s
+}
+
+func (s *Server) newDecider() *decider {
+	start := time.Now()
+	d := &decider{
+		claims: claims.New(claims.Options{
+			Instance:   s.options.Name,
+			DataCentre: s.options.DataCentre,
+			Start:      start,
+		}),
+		dispatch: dispatch.New(dispatch.Options{
+			Instance:   s.options.Name,
+			DataCentre: s.options.DataCentre,
+			Seed:       uint64(start.UnixNano()),
+			Policy:     dispatch.Policy(s.options.Policy),
+		}),
+		in:      ring.New[input](inputRingSize),
+		effects: s,
+	}
+	d.step(start, input{dispatch: dispatch.ConfigChanged{Config: s.options.Config}})
+	d.step(start, input{claims: claims.MembersChanged{Epoch: 1, Members: s.places.agreed(s.options.DataCentre)}})
+	d.step(start, input{
+		claims:   claims.LeaseChanged{Held: true},
+		dispatch: dispatch.LeaseChanged{Held: true},
+	})
+	return d
+}
+
+func (s *Server) newMesh() *wire.Mesh {
+	peers := make([]wire.Peer, len(s.options.Peers))
+	for i, peer := range s.options.Peers {
+		peers[i] = wire.Peer{Name: peer.Name, Address: peer.Address}
+	}
+	return wire.NewMesh(wire.MeshOptions{
+		Self: &wire.Hello{
+			Instance:    s.options.Name,
+			DataCentre:  s.options.DataCentre,
+			Incarnation: s.options.Incarnation,
+		},
+		Listener:  s.options.LinkListener,
+		Peers:     peers,
+		Handler:   s,
+		ClientTLS: s.options.ClientTLS,
+	})
+}
+
+// Run serves until ctx ends, then drains: requests in flight are finished
+// before it returns.
+func (s *Server) Run(ctx context.Context) error {
+	s.log.Info().Str("event", "instance_started").
+		Str("data_centre", s.options.DataCentre).
+		Str("incarnation", s.options.Incarnation).
+		Str("http", s.options.HTTPListener.Addr().String()).
+		Str("link", s.options.LinkListener.Addr().String()).Send()
+	defer s.stopAll()
+	inner, stopInner := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopInner()
+	group, inner := errgroup.WithContext(inner)
+	group.Go(func() error { return s.decider.decisionLoop(inner) })
+	group.Go(func() error { return s.mesh.Run(inner) })
+	group.Go(func() error { return s.serveHTTP() })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			s.drain()
+		case <-inner.Done():
+		}
+		stopInner()
+		return s.http.Close()
+	})
+	err := group.Wait()
+	s.log.Info().Str("event", "instance_stopped").Send()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) serveHTTP() error {
+	err := s.http.Serve(s.options.HTTPListener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// post hands an event to the decision loop. It fails only when the server
+// stops.
+func (s *Server) post(in input) {
+	if err := s.decider.post(s.attemptOf, in); err != nil {
+		s.log.Warn().Str("event", "event_dropped").Str("step", "decide").Err(err).Send()
+	}
+}
--- /dev/null
+++ b/wire/handler.go
@@ -0,0 +1,24 @@
+package wire
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrNoLink means that there is no link to the peer; nothing was sent.
+var ErrNoLink = errors.New("no link to the peer")
+
+// Handler receives what arrives over the links of a Mesh. Its methods are
+// called from several goroutines and must not block for long, except
+// HandleCall.
+type Handler interface {
+	// HandleMessage takes a one-way message, heartbeats included.
+	HandleMessage(peer string, message *Envelope)
+	// HandleCall answers a request. An error is sent to the peer as text.
+	HandleCall(ctx context.Context, peer string, request *Envelope) (*Envelope, error)
+	// LinkUp and LinkDown report changes of the link to a peer.
+	LinkUp(peer *Hello)
+	LinkDown(peer string, cause error)
+	// Heartbeat returns the body of the next heartbeat.
+	Heartbeat() *Heartbeat
+}
--- /dev/null
+++ b/wire/link.go
@@ -0,0 +1,232 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"hawthornshore.example/ring"
+	"hawthornshore.example/structs"
+)
+
+const (
+	// maxFrameBytes bounds one message; a job body may be 1 MiB and an answer several.
+	maxFrameBytes = 16 << 20
+	// sendRingSize is the number of one-way messages that may wait on a link.
+	sendRingSize = 4096
+	// maxStreams is the number of calls that may be open on a link.
+	maxStreams = 4096
+	// batchSize is the number of one-way messages written before a flush.
+	batchSize = 64
+)
+
+// link is one established session with a peer.
+type link struct {
+	peer      *Hello
+	session   *yamux.Session
+	flow      net.Conn
+	out       *ring.Ring[*Envelope]
+	lastHeard atomic.Int64 // nanoseconds of the monotonic clock since start
+	start     time.Time
+	sequence  uint64
+}
+
+func yamuxConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false // the application heartbeats cover liveness
+	config.AcceptBacklog = maxStreams
+	config.ConnectionWriteTimeout = structs.LinkTimeout
+	config.StreamOpenTimeout = structs.LinkTimeout
+	config.LogOutput = io.Discard
+	return config
+}
+
+// newLink exchanges hello messages over a fresh session.
+func newLink(session *yamux.Session, flow net.Conn, self *Hello) (*link, error) {
+	l := &link{
+		session: session,
+		flow:    flow,
+		out:     ring.New[*Envelope](sendRingSize),
+		start:   time.Now(),
+	}
+	if err := flow.SetDeadline(time.Now().Add(structs.LinkTimeout)); err != nil {
+		return nil, err
+	}
+	hello := &Envelope{Body: &Envelope_Hello{Hello: self}}
+	if _, err := protodelim.MarshalTo(flow, hello); err != nil {
+		return nil, fmt.Errorf("send hello: %w", err)
+	}
+	answer := &Envelope{}
+	if err := readFrame(&byteReader{flow}, answer); err != nil {
+		return nil, fmt.Errorf("receive hello: %w", err)
+	}
+	if l.peer = answer.GetHello(); l.peer == nil {
+		return nil, errors.New("first message is not a hello")
+	}
+	return l, flow.SetDeadline(time.Time{})
+}
+
+// byteReader reads single bytes without buffering, so that no byte after the
+// hello is taken from the stream.
+type byteReader struct{ io.Reader }
+
+func (r *byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
+
+func readFrame(r protodelim.Reader, message *Envelope) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}.UnmarshalFrom(r, message)
+}
+
+// run serves the link until it fails or ctx ends, and returns the cause.
+func (l *link) run(ctx context.Context, handler Handler) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return l.writeLoop(ctx) })
+	group.Go(func() error { return l.readLoop(handler) })
+	group.Go(func() error { return l.acceptLoop(ctx, handler) })
+	group.Go(func() error { return l.heartbeatLoop(ctx, handler) })
+	group.Go(func() error {
+		<-ctx.Done()
+		l.out.Close()
+		return l.session.Close()
+	})
+	return group.Wait()
+}
+
+// writeLoop sends the one-way messages.
+func (l *link) writeLoop(ctx context.Context) error {
+	writer := bufio.NewWriter(l.flow)
+	var batch []*Envelope
+	for {
+		select {
+		case <-l.out.Ready():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		batch = l.out.PopAll(batch[:0])
+		if err := l.writeBatch(writer, batch); err != nil {
+			return fmt.Errorf("write: %w", err)
+		}
+	}
+}
+
+func (l *link) writeBatch(writer *bufio.Writer, batch []*Envelope) error {
+	for i, message := range batch {
+		if i%batchSize == 0 {
+			if err := l.flow.SetWriteDeadline(time.Now().Add(structs.LinkTimeout)); err != nil {
+				return err
+			}
+		}
+		if _, err := protodelim.MarshalTo(writer, message); err != nil {
+			return err
+		}
+	}
+	return writer.Flush()
+}
+
+// readLoop takes the one-way messages of the peer.
+func (l *link) readLoop(handler Handler) error {
+	reader := bufio.NewReader(l.flow)
+	for {
+		message := &Envelope{}
+		if err := readFrame(reader, message); err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		l.lastHeard.Store(int64(time.Since(l.start)))
+		handler.HandleMessage(l.peer.GetInstance(), message)
+	}
+}
+
+// acceptLoop serves the calls of the peer, each in a goroutine of its own.
+func (l *link) acceptLoop(ctx context.Context, handler Handler) error {
+	for {
+		stream, err := l.session.AcceptStream()
+		if err != nil {
+			return fmt.Errorf("accept: %w", err)
+		}
+		go l.serveCall(ctx, stream, handler)
+	}
+}
+
+func (l *link) serveCall(ctx context.Context, stream net.Conn, handler Handler) {
+	defer stream.Close()
+	request := &Envelope{}
+	if err := readFrame(bufio.NewReader(stream), request); err != nil {
+		return
+	}
+	reply, err := handler.HandleCall(ctx, l.peer.GetInstance(), request)
+	if err != nil {
+		reply = &Envelope{Body: &Envelope_CallError{CallError: &CallError{Message: err.Error()}}}
+	}
+	if err := stream.SetWriteDeadline(time.Now().Add(structs.LinkTimeout)); err != nil {
+		return
+	}
+	_, _ = protodelim.MarshalTo(stream, reply) // the caller sees a closed stream
+}
+
+// heartbeatLoop sends heartbeats and closes a silent link.
+func (l *link) heartbeatLoop(ctx context.Context, handler Handler) error {
+	ticker := time.NewTicker(structs.LinkHeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		l.sequence++
+		beat := handler.Heartbeat()
+		beat.Sequence = l.sequence
+		message := &Envelope{Body: &Envelope_Heartbeat{Heartbeat: beat}}
+		if err := l.out.Push(message); err != nil {
+			return fmt.Errorf("queue heartbeat: %w", err)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		silence := time.Since(l.start) - time.Duration(l.lastHeard.Load())
+		if silence > structs.LinkTimeout {
+			return fmt.Errorf("no heartbeat for %s", silence.Round(time.Millisecond))
+		}
+	}
+}
+
+// call opens a stream for one request and one reply.
+func (l *link) call(ctx context.Context, request *Envelope) (*Envelope, error) {
+	stream, err := l.session.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("%w: open stream: %w", ErrNoLink, err)
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := stream.SetDeadline(deadline); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := protodelim.MarshalTo(stream, request); err != nil {
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	reply := &Envelope{}
+	if err := readFrame(bufio.NewReader(stream), reply); err != nil {
+		return nil, fmt.Errorf("receive reply: %w", err)
+	}
+	if failure := reply.GetCallError(); failure != nil {
+		return nil, &RemoteError{Message: failure.GetMessage()}
+	}
+	return reply, nil
+}
+
+// RemoteError is an error that the peer reported for a call.
+type RemoteError struct{ Message string }
+
+func (e *RemoteError) Error() string { return e.Message }
--- /dev/null
+++ b/wire/mesh.go
@@ -0,0 +1,223 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+
+	"hawthornshore.example/structs"
+)
+
+// redialInterval is the pause between attempts to dial a peer.
+const redialInterval = 200 * time.Millisecond
+
+// Peer is another instance and the address of its link listener.
+type Peer struct {
+	Name    string
+	Address string // host:port
+}
+
+// MeshOptions configures a Mesh.
+type MeshOptions struct {
+	Self     *Hello
+	Listener net.Listener // accepts links of peers with smaller names
+	Peers    []Peer
+	Handler  Handler
+	// ClientTLS secures dialled links; nil means plain TCP. The listener
+	// brings its own TLS.
+	ClientTLS *tls.Config
+}
+
+// Mesh keeps one link to each peer.
+type Mesh struct {
+	options MeshOptions
+	mu      sync.RWMutex
+	links   map[string]*link
+}
+
+// NewMesh returns a Mesh that starts work in Run.
+func NewMesh(options MeshOptions) *Mesh {
+	return &Mesh{options: options, links: make(map[string]*link)}
+}
+
+// Run dials and accepts links until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.listenLoop(ctx) })
+	group.Go(func() error {
+		<-ctx.Done()
+		return m.options.Listener.Close()
+	})
+	for _, peer := range m.options.Peers {
+		if m.options.Self.GetInstance() < peer.Name {
+			group.Go(func() error { return m.dialLoop(ctx, peer) })
+		}
+	}
+	return group.Wait()
+}
+
+// listenLoop accepts connections of peers that dial this instance.
+func (m *Mesh) listenLoop(ctx context.Context) error {
+	for {
+		conn, err := m.options.Listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("accept link: %w", err)
+		}
+		go m.serveAccepted(ctx, conn)
+	}
+}
+
+func (m *Mesh) serveAccepted(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	session, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		return
+	}
+	defer session.Close()
+	handshake, cancel := context.WithTimeout(ctx, structs.LinkTimeout)
+	defer cancel()
+	flow, err := session.AcceptStreamWithContext(handshake)
+	if err != nil {
+		return
+	}
+	m.serve(ctx, session, flow, "")
+}
+
+// dialLoop keeps a link to one peer.
+func (m *Mesh) dialLoop(ctx context.Context, peer Peer) error {
+	for {
+		m.dialOnce(ctx, peer)
+		select {
+		case <-time.After(redialInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// dialOnce dials the peer and serves the link until it fails.
+func (m *Mesh) dialOnce(ctx context.Context, peer Peer) {
+	conn, err := m.dial(ctx, peer)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	session, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		return
+	}
+	defer session.Close()
+	flow, err := session.OpenStream()
+	if err != nil {
+		return
+	}
+	m.serve(ctx, session, flow, peer.Name)
+}
+
+func (m *Mesh) dial(ctx context.Context, peer Peer) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: structs.LinkTimeout}
+	if m.options.ClientTLS == nil {
+		return dialer.DialContext(ctx, "tcp", peer.Address)
+	}
+	secure := &tls.Dialer{NetDialer: dialer, Config: m.options.ClientTLS}
+	return secure.DialContext(ctx, "tcp", peer.Address)
+}
+
+// serve registers the link and runs it. An empty name accepts any known peer.
+func (m *Mesh) serve(ctx context.Context, session *yamux.Session, flow net.Conn, name string) {
+	l, err := newLink(session, flow, m.options.Self)
+	if err != nil {
+		return
+	}
+	peer := l.peer.GetInstance()
+	if err := m.checkPeer(peer, name); err != nil {
+		m.options.Handler.LinkDown(peer, err)
+		return
+	}
+	m.register(peer, l)
+	m.options.Handler.LinkUp(l.peer)
+	err = l.run(ctx, m.options.Handler)
+	if m.unregister(peer, l) {
+		m.options.Handler.LinkDown(peer, err)
+	}
+}
+
+func (m *Mesh) checkPeer(got, want string) error {
+	if want != "" && got != want {
+		return fmt.Errorf("expected instance %q, got %q", want, got)
+	}
+	for _, peer := range m.options.Peers {
+		if peer.Name == got {
+			return nil
+		}
+	}
+	return errors.New("instance is not a configured peer")
+}
+
+// register makes l the link to the peer. An older link is closed: the peer
+// dials again only after it gave up the older one.
+func (m *Mesh) register(peer string, l *link) {
+	m.mu.Lock()
+	old := m.links[peer]
+	m.links[peer] = l
+	m.mu.Unlock()
+	if old != nil {
+		old.session.Close()
+	}
+}
+
+// unregister reports whether l was still the link to the peer.
+func (m *Mesh) unregister(peer string, l *link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[peer] != l {
+		return false
+	}
+	delete(m.links, peer)
+	return true
+}
+
+func (m *Mesh) link(peer string) *link {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.links[peer]
+}
+
+// Send queues a one-way message. The message may still be lost with the link.
+func (m *Mesh) Send(peer string, message *Envelope) error {
+	l := m.link(peer)
+	if l == nil {
+		return &structs.StepError{Step: "send", Peer: peer, Err: ErrNoLink}
+	}
+	if err := l.out.Push(message); err != nil {
+		return &structs.StepError{Step: "send", Peer: peer, Err: err}
+	}
+	return nil
+}
+
+// Call sends a request and waits for its reply. An error that wraps ErrNoLink
+// means that nothing was sent.
+func (m *Mesh) Call(ctx context.Context, peer string, request *Envelope) (*Envelope, error) {
+	l := m.link(peer)
+	if l == nil {
+		return nil, &structs.StepError{Step: "call", Peer: peer, Err: ErrNoLink}
+	}
+	reply, err := l.call(ctx, request)
+	if err != nil {
+		return nil, &structs.StepError{Step: "call", Peer: peer, Err: err}
+	}
+	return reply, nil
+}
+
+// Linked reports whether there is a link to the peer.
+func (m *Mesh) Linked(peer string) bool { return m.link(peer) != nil }
