--- /dev/null
+++ b/apps/hawthorn-target/main.go
@@ -0,0 +1,109 @@
+// Command hawthorn-target is an emulated target: it runs tasks as timers and
+// brings about faults on request. SIGTERM makes it leave gracefully.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"hawthornshore.example/emulator"
+)
+
+// arguments are the command line.
+type arguments struct {
+	Listen      string        `help:"Address to serve on." default:"127.0.0.1:0"`
+	Advertise   string        `help:"Address to announce, if it is not the one served on."`
+	ID          string        `help:"Target ID." required:""`
+	Worker      string        `help:"Worker the target runs on."`
+	Rack        string        `help:"Rack of the worker."`
+	DataCentre  string        `help:"Data centre of the worker."`
+	Slots       int           `help:"Tasks that run at once." default:"8"`
+	Classes     []string      `help:"Classes of work to accept; all if none is given."`
+	Cores       float64       `help:"Cores per slot."`
+	MB          int64         `name:"mb" help:"Memory per slot in MB."`
+	Entry       []string      `help:"Addresses of entry instances to announce to."`
+	StartRecord string        `help:"File to which every start is appended."`
+	RunTime     string        `help:"Run times of tasks that name none: fixed:D, uniform:MIN,MAX or lognormal:MEDIAN,SIGMA[,MAX]." default:"fixed:100ms"`
+	Seed        uint64        `help:"Seed of the run times."`
+	LeaveWithin time.Duration `help:"Longest time a graceful leave may take." default:"60s"`
+
+	FailAll            bool          `help:"Fault: fail every task."`
+	Straggle           float64       `help:"Fault: factor on run times." default:"1"`
+	AcceptWhileLeaving bool          `help:"Fault: start tasks while leaving."`
+	Linger             time.Duration `help:"Fault: stay this long after the last attempt when leaving."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Description("Emulated target of hawthornshore."))
+	writer := zerolog.ConsoleWriter{
+		Out:        os.Stderr,
+		NoColor:    true,
+		TimeFormat: time.RFC3339Nano,
+		PartsOrder: []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
+	}
+	log := zerolog.New(writer).With().Timestamp().Logger()
+	if err := run(args, log); err != nil {
+		log.Error().Str("event", "target_stopped").Err(err).Send()
+		os.Exit(1)
+	}
+	log.Info().Str("event", "target_stopped").Send()
+}
+
+// run serves the target until a signal or a fault ends it.
+func run(args arguments, log zerolog.Logger) error {
+	options, err := args.options(log)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	target, err := emulator.New(options)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	served, serveEnded := context.WithCancel(signals)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer serveEnded()
+		return target.Serve()
+	})
+	group.Go(func() error {
+		<-served.Done()
+		if signals.Err() == nil {
+			return nil // Serve ended by itself
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), args.LeaveWithin)
+		defer cancel()
+		return target.Leave(ctx)
+	})
+	return errors.Trace(group.Wait())
+}
+
+func (a *arguments) options(log zerolog.Logger) (emulator.Options, error) {
+	runTime, err := emulator.ParseRunTime(a.RunTime)
+	if err != nil {
+		return emulator.Options{}, errors.Trace(err)
+	}
+	return emulator.Options{
+		ID: a.ID, Worker: a.Worker, Rack: a.Rack, DataCentre: a.DataCentre,
+		Slots: a.Slots, Classes: a.Classes, Cores: a.Cores, MB: a.MB,
+		Listen: a.Listen, Advertise: a.Advertise, Entries: a.Entry, StartRecord: a.StartRecord,
+		RunTime: runTime, Seed: a.Seed,
+		Faults: emulator.Faults{
+			FailAll:            a.FailAll,
+			Straggle:           a.Straggle,
+			AcceptWhileLeaving: a.AcceptWhileLeaving,
+			Linger:             a.Linger,
+		},
+		Log: log,
+	}, nil
+}
--- /dev/null
+++ b/emulator/options.go
@@ -0,0 +1,83 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"hawthornshore.example/structs"
+)
+
+// Options configure a Target.
+type Options struct {
+	ID          string
+	Incarnation string // empty: a new one
+	Worker      string
+	Rack        string
+	DataCentre  string
+	Slots       int
+	Classes     []string // empty: all
+	Cores       float64  // per slot
+	MB          int64    // per slot
+
+	// Listen is the host:port to serve on; port 0 chooses a free one.
+	Listen string
+	// Advertise is the address to announce, if it is not the one listened on,
+	// for example that of a proxy.
+	Advertise string
+	// Entries are the host:port addresses of entry instances.
+	Entries []string
+	// StartRecord is the file to which every start is appended before its task
+	// begins. Empty: none.
+	StartRecord string
+
+	// RunTime gives the run time of tasks whose payload names none.
+	RunTime RunTime
+	// Seed makes the run times and failures reproducible.
+	Seed uint64
+	// Faults are in force from the beginning; SetFaults replaces them.
+	Faults Faults
+
+	Log zerolog.Logger
+}
+
+// Faults are misbehaviours that a target shows on request.
+type Faults struct {
+	// FailAll makes every task fail at the end of its run time.
+	FailAll bool
+	// Straggle multiplies run times; 0 means 1.
+	Straggle float64
+	// AcceptWhileLeaving makes a leaving target start tasks, so that its start
+	// record shows the starts it was sent after it announced that it leaves.
+	AcceptWhileLeaving bool
+	// Linger is how long a leaving target stays after its last attempt ended.
+	Linger time.Duration
+}
+
+// complete checks the options and fills in defaults.
+func (o *Options) complete() error {
+	if o.ID == "" || len(o.ID) > structs.MaxNameLength {
+		return errors.NotValidf("target ID %q", o.ID)
+	}
+	if o.Slots < 1 {
+		return errors.NotValidf("%d slots", o.Slots)
+	}
+	if o.Faults.Straggle < 0 {
+		return errors.NotValidf("straggler factor %g", o.Faults.Straggle)
+	}
+	if o.Incarnation == "" {
+		o.Incarnation = uuid.NewString()
+	}
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
+	}
+	if o.RunTime == nil {
+		o.RunTime = Fixed(defaultRunTime)
+	}
+	return nil
+}
+
+// defaultRunTime is used when neither the payload nor the options give one.
+const defaultRunTime = 100 * time.Millisecond
--- /dev/null
+++ b/emulator/run.go
@@ -0,0 +1,188 @@
+package emulator
+
+import (
+	"encoding/json"
+	"time"
+
+	"hawthornshore.example/structs"
+	"hawthornshore.example/targetapi"
+)
+
+// begin starts an attempt, refuses it for good, or returns the existing one.
+func (t *Target) begin(id structs.AttemptID, req targetapi.StartRequest, received time.Time) *attempt {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := t.attempts[id]; a != nil {
+		return a
+	}
+	if cause := t.refusal(req, received); cause != "" {
+		return t.forbid(id, cause)
+	}
+	// The line is written before the task begins. If the write fails, part of
+	// the line may be in the file, so the attempt must never run.
+	if err := t.record.append(t.startLine(id)); err != nil {
+		t.log.Error().Str("event", "start_record_failed").Err(err).Send()
+		return t.forbid(id, targetapi.CauseFault)
+	}
+	a := t.newAttempt(id, targetapi.AttemptAccepted)
+	t.attempts[id] = a
+	t.running++
+	t.starts++
+	t.tasks.Add(1)
+	go t.run(a, t.plan(req))
+	return a
+}
+
+// refusal returns the cause for which a start is refused, or "". The caller
+// holds the mutex.
+func (t *Target) refusal(req targetapi.StartRequest, received time.Time) string {
+	window := time.Duration(req.StartWithinMS) * time.Millisecond
+	switch {
+	case t.closed:
+		return targetapi.CauseLeaving
+	case t.state == structs.TargetLeaving && !t.faults.AcceptWhileLeaving:
+		return targetapi.CauseLeaving
+	case window > 0 && time.Since(received) > window:
+		return targetapi.CauseExpired
+	case t.running >= t.options.Slots:
+		return targetapi.CauseBusy
+	}
+	return ""
+}
+
+// forbid records that an attempt has not started and never will. The caller
+// holds the mutex.
+func (t *Target) forbid(id structs.AttemptID, cause string) *attempt {
+	a := t.newAttempt(id, targetapi.AttemptRefused)
+	a.report.Cause = cause
+	a.end(targetapi.AttemptRefused, "", time.Now())
+	t.attempts[id] = a
+	t.log.Info().Str("event", "start_refused").Str("attempt", id.String()).Str("cause", cause).Send()
+	return a
+}
+
+func (t *Target) newAttempt(id structs.AttemptID, state targetapi.AttemptState) *attempt {
+	return &attempt{
+		id: id,
+		report: targetapi.AttemptReport{
+			AttemptID:   id.String(),
+			Incarnation: t.options.Incarnation,
+			State:       state,
+		},
+		cancel: make(chan struct{}),
+		ended:  make(chan struct{}),
+	}
+}
+
+func (t *Target) startLine(id structs.AttemptID) StartLine {
+	return StartLine{
+		AttemptID:   id.String(),
+		JobID:       id.Job.String(),
+		Task:        id.Task,
+		TargetID:    t.options.ID,
+		Incarnation: t.options.Incarnation,
+		UnixMS:      time.Now().UnixMilli(),
+	}
+}
+
+// plan is how a task will run.
+type plan struct {
+	runTime time.Duration
+	fail    bool
+	echo    json.RawMessage
+}
+
+// plan decides a task's run time and end. The caller holds the mutex.
+func (t *Target) plan(req targetapi.StartRequest) plan {
+	p := readPayload(req.Payload)
+	runTime := t.options.RunTime.Sample(t.random)
+	if p.RunMS != nil {
+		runTime = time.Duration(*p.RunMS * float64(time.Millisecond))
+	}
+	if t.faults.Straggle > 0 {
+		runTime = time.Duration(float64(runTime) * t.faults.Straggle)
+	}
+	return plan{runTime: runTime, fail: p.Fail || t.faults.FailAll, echo: p.Echo}
+}
+
+// run waits for the end of the task and records it.
+func (t *Target) run(a *attempt, p plan) {
+	defer t.tasks.Done()
+	begun := time.Now()
+	timer := time.NewTimer(p.runTime)
+	defer timer.Stop()
+	cancelled := false
+	select {
+	case <-timer.C:
+	case <-a.cancel:
+		cancelled = true
+	case <-t.stopped.Done():
+		return
+	}
+	if t.frozen.pass(t.stopped) != nil {
+		return
+	}
+	t.finish(a, p, cancelled, time.Since(begun))
+}
+
+func (t *Target) finish(a *attempt, p plan, cancelled bool, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	a.report.RunMS = took.Milliseconds()
+	switch {
+	case cancelled:
+		a.end(targetapi.AttemptFailed, "cancelled", time.Now())
+	case p.fail:
+		a.end(targetapi.AttemptFailed, "failed on request", time.Now())
+	default:
+		a.report.Output = t.output(a.id, p)
+		a.end(targetapi.AttemptDone, "", time.Now())
+	}
+}
+
+func (t *Target) output(id structs.AttemptID, p plan) json.RawMessage {
+	data, err := json.Marshal(output{AttemptID: id.String(), TargetID: t.options.ID, Echo: p.echo})
+	if err != nil {
+		return nil // Echo was parsed from JSON, so it can be written as JSON.
+	}
+	return data
+}
+
+// tombstone forbids an attempt unless it is known, and returns its report.
+func (t *Target) tombstone(id structs.AttemptID) targetapi.AttemptReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.attempts[id]
+	if a == nil {
+		a = t.forbid(id, targetapi.CauseTombstone)
+	}
+	return a.report
+}
+
+// stopAttempt cancels a running attempt, or forbids one that has not started,
+// so that a cancellation that overtakes its start holds.
+func (t *Target) stopAttempt(id structs.AttemptID) targetapi.AttemptReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.attempts[id]
+	if a == nil {
+		return t.forbid(id, targetapi.CauseTombstone).report
+	}
+	select {
+	case <-a.cancel:
+	default:
+		close(a.cancel)
+	}
+	return a.report
+}
+
+// report returns the state of an attempt now.
+func (t *Target) report(id structs.AttemptID) targetapi.AttemptReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := t.attempts[id]; a != nil {
+		return a.report
+	}
+	return t.newAttempt(id, targetapi.AttemptUnheardOf).report
+}
--- a/targetapi/types.go
+++ b/targetapi/types.go
@@ -44,13 +44,25 @@
 	AttemptUnheardOf AttemptState = "unheard_of"
 )
 
+// Causes of a refusal.
+const (
+	CauseBusy      = "busy"      // no free slot
+	CauseLeaving   = "leaving"   // the target takes no new work
+	CauseTombstone = "tombstone" // a tombstone or a cancellation came first
+	// CauseIncarnation means that the request was meant for another
+	// incarnation. It proves nothing about what that incarnation did.
+	CauseIncarnation = "incarnation"
+	CauseExpired     = "expired" // StartWithinMS had passed
+	CauseFault       = "fault"   // the target could not record the start
+)
+
 // AttemptReport is one line of a start's answer, and the answer of the other
 // calls.
 type AttemptReport struct {
 	AttemptID   string          `json:"attempt_id"`
 	Incarnation string          `json:"incarnation"`
 	State       AttemptState    `json:"state"`
-	Cause       string          `json:"cause,omitempty"` // of a refusal: busy, leaving, tombstone, incarnation
+	Cause       string          `json:"cause,omitempty"` // of a refusal, one of the Cause constants
 	Message     string          `json:"message,omitempty"`
 	Output      json.RawMessage `json:"output,omitempty"`
 	RunMS       int64           `json:"run_ms,omitempty"`
@@ -62,4 +74,3 @@
 	Manager  string `json:"manager"` // the instance that manages the target's slots
 	Message  string `json:"message,omitempty"`
 }
-
