Add a thin dispatch core with outcomes, attempts and the target table

Cause: the server is written against the events of the core and needs an implementation behind them.

The core admits, releases, starts, cancels and answers jobs, resolves silent attempts, and files targets by free slots so that a start does not scan them. Nothing is added to or renamed in events.go in this commit.

What counts as proof that an attempt has not started: any refusal of a start that is neither acknowledged nor silent; for a silent one only busy, leaving and tombstone. A refusal of an acknowledged start is treated as unresolved. When a new incarnation of a target announces itself, the acknowledged attempts of the old one end at once and later reports of them are ignored, so no ResolveAttempt follows them.

Ruled out: answering a cancelled job at once while all of its tasks run; the outcome would be unknown although the targets report it shortly after.

Before: contracts only. After: the specs of outcomes and targets pass (go test in dispatch).

--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hawthornshore.example/structs"
+)
+
+// housekeepingInterval is how often the core samples demand, refreshes learned
+// figures and reconsiders parked work.
+const housekeepingInterval = 100 * time.Millisecond
+
+// Core holds the jobs this instance owns and the targets it manages. It is not
+// safe for concurrent use.
+type Core struct {
+	opts    Options
+	rng     *rand.Rand
+	base    time.Time     // time of the first step
+	now     time.Duration // time of the current step since base
+	timers  timerHeap
+	house   timer
+	effects []Effect
+	spare   []Effect // the buffer handed out by the last Ready
+
+	config  structs.SystemConfig
+	classes map[string]*class
+	ranked  []*class // by rank, then name
+	tenants map[string]*tenant
+	jobs    map[structs.JobID]*job
+	fleet   fleet
+
+	leaseHeld bool
+	draining  bool
+}
+
+// New returns a core without targets, jobs, configuration or lease.
+func New(opts Options) *Core {
+	if opts.Policy == "" {
+		opts.Policy = PolicyHawthorn
+	}
+	c := &Core{
+		opts:    opts,
+		rng:     rand.New(rand.NewPCG(opts.Seed, 0)),
+		classes: make(map[string]*class),
+		tenants: make(map[string]*tenant),
+		jobs:    make(map[structs.JobID]*job),
+	}
+	c.fleet.init()
+	c.house.fire = (*Core).housekeep
+	return c
+}
+
+// Step takes one event that happens at now. Times must not decrease.
+func (c *Core) Step(now time.Time, ev Event) {
+	c.advance(now)
+	for t := c.timers.popDue(c.now); t != nil; t = c.timers.popDue(c.now) {
+		t.fire(c)
+	}
+	c.handle(ev)
+	c.startTasks()
+}
+
+func (c *Core) advance(now time.Time) {
+	if c.base.IsZero() {
+		c.base = now
+		c.timers.set(&c.house, housekeepingInterval)
+	}
+	c.now = max(c.now, now.Sub(c.base))
+}
+
+func (c *Core) handle(ev Event) {
+	switch e := ev.(type) {
+	case ConfigChanged:
+		c.configChanged(e.Config)
+	case TargetSeen:
+		c.targetSeen(&e.Announcement)
+	case TargetReleased:
+		c.targetReleased(e.TargetID)
+	case AdmitJob:
+		c.admitJob(&e.Job)
+	case ReleaseJob:
+		c.releaseJob(e.JobID)
+	case CancelJob:
+		c.cancelJob(e.JobID)
+	case LeaseChanged:
+		c.leaseHeld = e.Held
+	case Drain:
+		c.draining = true
+	case AttemptAccepted:
+		c.attemptAccepted(e.Attempt)
+	case AttemptDone:
+		c.attemptDone(&e)
+	case AttemptFailed:
+		c.attemptFailed(&e)
+	case AttemptRefused:
+		c.attemptRefused(&e)
+	case AttemptSilent:
+		c.attemptSilent(e.Attempt)
+	case AttemptUnresolved:
+		c.attemptUnresolved(e.Attempt)
+	}
+}
+
+// Ready returns and clears the pending effects. The slice is valid until the
+// call of Ready after the next.
+func (c *Core) Ready() []Effect {
+	out := c.effects
+	clear(c.spare[:cap(c.spare)])
+	c.effects = c.spare[:0]
+	c.spare = out
+	return out
+}
+
+// NextWake returns when a Tick is due; ok is false before the first step.
+func (c *Core) NextWake() (at time.Time, ok bool) {
+	if len(c.timers) == 0 {
+		return time.Time{}, false
+	}
+	return c.base.Add(c.timers[0].at), true
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+// since converts a time of day to the core's time line.
+func (c *Core) since(t time.Time) time.Duration { return t.Sub(c.base) }
+
+func (c *Core) housekeep() {
+	c.timers.set(&c.house, c.now+housekeepingInterval)
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"hawthornshore.example/structs"
+)
+
+// taskState is where a task stands. A task that is neither waiting nor dropped
+// has, or may have, started.
+type taskState uint8
+
+const (
+	taskWaiting  taskState = iota // no attempt may have started
+	taskSent                      // a start was sent and not acknowledged
+	taskSilent                    // an unacknowledged start is being resolved
+	taskAccepted                  // the target acknowledged the start
+	taskLost                      // an acknowledged start is being resolved
+	taskDone
+	taskFailed
+	taskUnknown // the attempt may have run; nothing more will be known
+	taskDropped // never started and never will
+)
+
+// task is one task of a job and its current attempt.
+type task struct {
+	state    taskState
+	live     bool // the current attempt holds a slot and awaits a final report
+	accepted bool // the current attempt is known to have started
+	number   int  // attempt number, from 1
+	slot     slot
+	sentAt   time.Duration
+	output   json.RawMessage
+	runMS    int64
+}
+
+// job is an admitted job. It is kept until it is answered and no attempt of it
+// holds a slot.
+type job struct {
+	spec     structs.Job
+	class    *class
+	tenant   *tenant
+	deadline time.Duration
+	timer    timer // fires at the deadline
+	tasks    []task
+
+	waiting  int // tasks in taskWaiting
+	next     int // no task below this index is waiting
+	live     int // tasks with a live attempt
+	done     int
+	dropped  int
+	started  int // tasks known to have started
+	maybe    int // tasks that may have started, known ones included
+	released bool
+	stopping bool // no further starts
+	answered bool
+	queued   bool // in its tenant's queue
+	reason   structs.Reason
+	message  string
+}
+
+// nextWaiting returns the index of the first waiting task. The job must have one.
+func (j *job) nextWaiting() int {
+	for j.tasks[j.next].state != taskWaiting {
+		j.next++
+	}
+	return j.next
+}
+
+func (j *job) attemptID(i int) structs.AttemptID {
+	return structs.AttemptID{Job: j.spec.ID, Task: i, Number: j.tasks[i].number}
+}
+
+// dropWaiting makes sure that no waiting task of the job starts.
+func (c *Core) dropWaiting(j *job) {
+	c.dequeue(j)
+	if j.waiting == 0 {
+		return
+	}
+	for i := range j.tasks {
+		if j.tasks[i].state == taskWaiting {
+			j.tasks[i].state = taskDropped
+		}
+	}
+	j.dropped += j.waiting
+	j.waiting = 0
+}
+
+// stop ends the job early: waiting tasks are dropped and running ones are told
+// to stop. The first reason is kept.
+func (c *Core) stop(j *job, reason structs.Reason, message string) {
+	if j.stopping {
+		return
+	}
+	j.stopping = true
+	j.reason, j.message = reason, message
+	c.dropWaiting(j)
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.live {
+			c.emit(CancelAttempt{Attempt: j.attemptID(i), Target: t.slot.ref()})
+		}
+	}
+}
+
+// settle answers the job if what is known decides its outcome.
+func (c *Core) settle(j *job) {
+	if j.answered {
+		c.forget(j)
+		return
+	}
+	switch {
+	case j.done == len(j.tasks):
+		c.answer(j, structs.OutcomeComplete)
+	case !j.stopping:
+	case j.maybe == 0:
+		c.answer(j, structs.OutcomeNotRun)
+	case j.dropped > 0 && j.started > 0:
+		c.answer(j, structs.OutcomeFailed)
+	case j.live == 0:
+		c.answer(j, structs.OutcomeUnknown)
+	}
+}
+
+// answer emits the one answer of the job.
+func (c *Core) answer(j *job, outcome structs.Outcome) {
+	a := structs.Answer{JobID: j.spec.ID, Outcome: outcome, Reason: j.reason, Message: j.message}
+	if outcome == structs.OutcomeComplete {
+		a.Reason, a.Message = "", ""
+		a.Results = make([]structs.TaskResult, len(j.tasks))
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			a.Results[i] = structs.TaskResult{Task: i, Target: t.slot.targetID, Output: t.output, RunMS: t.runMS}
+		}
+	}
+	j.answered = true
+	c.timers.stop(&j.timer)
+	c.emit(JobFinished{Answer: a})
+	c.forget(j)
+}
+
+// forget removes an answered job once no attempt of it holds a slot.
+func (c *Core) forget(j *job) {
+	if j.answered && j.live == 0 {
+		delete(c.jobs, j.spec.ID)
+	}
+}
+
+// deadlinePassed answers a job at its deadline with what is known.
+func (c *Core) deadlinePassed(j *job) {
+	reason := structs.ReasonDeadlinePassed
+	if !c.leaseHeld && j.maybe == 0 {
+		reason = structs.ReasonNoLease
+	}
+	c.stop(j, reason, "the deadline passed")
+	c.settle(j)
+	if !j.answered {
+		c.answer(j, structs.OutcomeUnknown)
+	}
+}
+
+// attemptLost gives up an attempt about which nothing more will be known: the
+// job cannot complete, so the rest of it is stopped.
+func (c *Core) attemptLost(j *job, t *task, message string) {
+	t.state = taskUnknown
+	c.stop(j, structs.ReasonTargetLost, message)
+}
--- /dev/null
+++ b/dispatch/outcome_test.go
@@ -0,0 +1,149 @@
+package dispatch_test
+
+import (
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/structs"
+)
+
+var _ = Describe("outcomes of jobs", func() {
+	var b *bench
+	BeforeEach(func() { b = newBench(dispatch.PolicyHawthorn) })
+
+	It("refuses a job that fits no target", func() {
+		j := b.job("urgent", 1)
+		small := announcement("w1", "a", 1)
+		small.MB = 100
+		b.step(dispatch.TargetSeen{Announcement: small})
+		j.Tasks[0].DeclaredMB = 101
+		finished := pick[dispatch.JobFinished](b.step(dispatch.AdmitJob{Job: j}))
+		Expect(finished[0].Answer.Reason).To(Equal(structs.ReasonNeverFits))
+		Expect(finished[0].Answer.Outcome).To(Equal(structs.OutcomeNotRun))
+	})
+
+	It("starts nothing before the claim is held", func() {
+		b.target("w1", 2)
+		Expect(pick[dispatch.StartAttempt](b.step(dispatch.AdmitJob{Job: b.job("urgent", 1)}))).To(BeEmpty())
+	})
+
+	It("completes with the results of all tasks", func() {
+		b.target("w1", 2)
+		starts := pick[dispatch.StartAttempt](b.submit(b.job("urgent", 2)))
+		Expect(starts).To(HaveLen(2))
+		Expect(b.step(dispatch.AttemptDone{Attempt: starts[0].Attempt, Output: json.RawMessage("1")})).To(BeEmpty())
+		finished := pick[dispatch.JobFinished](b.step(dispatch.AttemptDone{Attempt: starts[1].Attempt, Output: json.RawMessage("2")}))
+		Expect(finished).To(HaveLen(1))
+		Expect(finished[0].Answer.Outcome).To(Equal(structs.OutcomeComplete))
+		Expect(finished[0].Answer.Results).To(HaveLen(2))
+	})
+
+	It("fails the job with its first failed task and stops the rest", func() {
+		b.target("w1", 2)
+		starts := pick[dispatch.StartAttempt](b.submit(b.job("urgent", 3)))
+		effects := b.step(dispatch.AttemptFailed{Attempt: starts[0].Attempt, Message: "boom"})
+		Expect(outcomes(effects)).To(Equal([]structs.Outcome{structs.OutcomeFailed}))
+		Expect(pick[dispatch.CancelAttempt](effects)).To(HaveLen(1))
+		Expect(pick[dispatch.StartAttempt](effects)).To(BeEmpty())
+		Expect(b.step(dispatch.AttemptFailed{Attempt: starts[1].Attempt})).To(BeEmpty(), "an answered job is not answered again")
+	})
+
+	It("answers not-run at the deadline only when no start may have happened", func() {
+		Expect(b.target("w1", 1)).To(BeEmpty())
+		running, waiting := b.job("urgent", 1), b.job("urgent", 1)
+		b.submit(running)
+		b.submit(waiting)
+		finished := pick[dispatch.JobFinished](b.after(10*time.Second, dispatch.Tick{}))
+		Expect(finished).To(HaveLen(2))
+		for _, f := range finished {
+			if f.Answer.JobID == running.ID {
+				Expect(f.Answer.Outcome).To(Equal(structs.OutcomeUnknown))
+			} else {
+				Expect(f.Answer.Outcome).To(Equal(structs.OutcomeNotRun))
+			}
+		}
+	})
+
+	It("does not give a silent task to another target without proof", func() {
+		b.target("w1", 1)
+		starts := pick[dispatch.StartAttempt](b.submit(b.job("urgent", 1)))
+		b.target("w2", 1)
+		effects := b.after(250*time.Millisecond, dispatch.AttemptSilent{Attempt: starts[0].Attempt})
+		Expect(pick[dispatch.StartAttempt](effects)).To(BeEmpty())
+		Expect(pick[dispatch.ResolveAttempt](effects)).To(HaveLen(1))
+		effects = b.step(dispatch.AttemptRefused{Attempt: starts[0].Attempt, Cause: dispatch.RefusedTombstone})
+		again := pick[dispatch.StartAttempt](effects)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Target.TargetID).To(Equal("w2"), "the silent target waits for its next announcement")
+		Expect(again[0].Attempt.Number).To(Equal(2))
+	})
+
+	DescribeTable("treats a weak refusal of a silent start as unknown", func(cause dispatch.RefusalCause) {
+		b.target("w1", 1)
+		b.target("w2", 1)
+		starts := pick[dispatch.StartAttempt](b.submit(b.job("urgent", 1)))
+		b.step(dispatch.AttemptSilent{Attempt: starts[0].Attempt})
+		effects := b.step(dispatch.AttemptRefused{Attempt: starts[0].Attempt, Cause: cause})
+		Expect(pick[dispatch.StartAttempt](effects)).To(BeEmpty())
+		Expect(outcomes(effects)).To(Equal([]structs.Outcome{structs.OutcomeUnknown}))
+	}, Entry("another incarnation", dispatch.RefusedIncarnation), Entry("not sent", dispatch.RefusedNotSent))
+
+	It("answers unknown when the target of an acknowledged task restarts", func() {
+		b.target("w1", 1)
+		starts := pick[dispatch.StartAttempt](b.submit(b.job("urgent", 1)))
+		b.step(dispatch.AttemptAccepted{Attempt: starts[0].Attempt})
+		effects := b.step(dispatch.TargetSeen{Announcement: announcement("w1", "b", 1)})
+		Expect(outcomes(effects)).To(Equal([]structs.Outcome{structs.OutcomeUnknown}))
+	})
+
+	It("cancels a waiting job as not-run", func() {
+		j := b.job("urgent", 2)
+		b.target("w1", 1)
+		b.submit(b.job("urgent", 1))
+		b.submit(j)
+		Expect(outcomes(b.step(dispatch.CancelJob{JobID: j.ID}))).To(Equal([]structs.Outcome{structs.OutcomeNotRun}))
+	})
+
+	It("keeps jobs queued without the lease and answers them at the deadline", func() {
+		j := b.job("urgent", 1)
+		b.target("w1", 1)
+		b.step(dispatch.AdmitJob{Job: j})
+		b.step(dispatch.LeaseChanged{Held: false})
+		Expect(b.step(dispatch.ReleaseJob{JobID: j.ID})).To(BeEmpty())
+		finished := pick[dispatch.JobFinished](b.after(10*time.Second, dispatch.Tick{}))
+		Expect(finished).To(HaveLen(1))
+		Expect(finished[0].Answer.Reason).To(Equal(structs.ReasonNoLease))
+		Expect(finished[0].Answer.Outcome).To(Equal(structs.OutcomeNotRun))
+	})
+
+	It("finishes admitted jobs and refuses new ones while draining", func() {
+		b.target("w1", 1)
+		j := b.job("urgent", 1)
+		b.step(dispatch.AdmitJob{Job: j})
+		b.step(dispatch.Drain{})
+		Expect(pick[dispatch.StartAttempt](b.step(dispatch.ReleaseJob{JobID: j.ID}))).To(HaveLen(1))
+		finished := pick[dispatch.JobFinished](b.step(dispatch.AdmitJob{Job: b.job("urgent", 1)}))
+		Expect(finished[0].Answer.Reason).To(Equal(structs.ReasonDraining))
+	})
+})
+
+var _ = Describe("targets", func() {
+	It("gives no work to a target that leaves or stops announcing itself", func() {
+		b := newBench(dispatch.PolicyHawthorn)
+		b.target("w1", 1)
+		b.target("w2", 1)
+		leaving := announcement("w1", "a", 1)
+		leaving.State = structs.TargetLeaving
+		b.step(dispatch.TargetSeen{Announcement: leaving})
+		starts := pick[dispatch.StartAttempt](b.submit(b.job("urgent", 2)))
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Target.TargetID).To(Equal("w2"))
+		b.after(structs.TargetTimeout, dispatch.Tick{})
+		effects := b.step(dispatch.AttemptDone{Attempt: starts[0].Attempt})
+		Expect(pick[dispatch.StartAttempt](effects)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"hawthornshore.example/structs"
+)
+
+// maxBucket bounds the free slots by which targets are told apart.
+const maxBucket = 64
+
+// tiers of targets within a pool, preferred first.
+const (
+	tierNormal = iota
+	tierSlow
+	tierCount
+)
+
+// poolKey is what decides which tasks a target can run.
+type poolKey struct {
+	classes string // sorted and joined; empty: all
+	cores   float64
+	mb      int64
+}
+
+// pool files the usable targets of one kind by their free slots, so that the
+// least loaded one is found without a scan.
+type pool struct {
+	key     poolKey
+	classes []string
+	members int // managed, unexpired targets of this kind
+	buckets [tierCount][maxBucket + 1][]*target
+	top     [tierCount]int // no target is filed above this bucket
+}
+
+func keyOf(a *structs.Announcement) poolKey {
+	classes := slices.Clone(a.Classes)
+	slices.Sort(classes)
+	return poolKey{classes: strings.Join(classes, "\n"), cores: a.Cores, mb: a.MB}
+}
+
+func (p *pool) accepts(class string) bool {
+	return len(p.classes) == 0 || slices.Contains(p.classes, class)
+}
+
+func (p *pool) fits(class string, task *structs.Task) bool {
+	return p.accepts(class) && fits(p.key.cores, p.key.mb, task)
+}
+
+func (p *pool) file(t *target, tier, free int) {
+	free = min(free, maxBucket)
+	if t.bucket == free && t.tier == tier {
+		return
+	}
+	if t.bucket > 0 {
+		b := p.buckets[t.tier][t.bucket]
+		last := b[len(b)-1]
+		b[t.pos] = last
+		last.pos = t.pos
+		b[len(b)-1] = nil
+		p.buckets[t.tier][t.bucket] = b[:len(b)-1]
+	}
+	t.tier, t.bucket = tier, free
+	if free > 0 {
+		t.pos = len(p.buckets[tier][free])
+		p.buckets[tier][free] = append(p.buckets[tier][free], t)
+		p.top[tier] = max(p.top[tier], free)
+	}
+}
+
+// pick returns a random one of the targets with the most free slots in a tier,
+// or nil.
+func (p *pool) pick(tier int, rng *rand.Rand) *target {
+	for p.top[tier] > 0 {
+		if b := p.buckets[tier][p.top[tier]]; len(b) > 0 {
+			return b[rng.IntN(len(b))]
+		}
+		p.top[tier]--
+	}
+	return nil
+}
