Add the demo: two data centres as separate processes, checked by start records

Cause: a newcomer needs one command that serves real jobs end to end. Ruled out: counting by the dispatcher's own figures, which cannot show a fault of the dispatcher. Before: no demo.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,78 @@
+#!/usr/bin/env bash
+# Starts two data centres with two entry instances and three emulated targets
+# each on loopback addresses, submits jobs through all of them, checks the
+# answers against the targets' start records, and stops everything it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+run=$(mktemp -d)
+pids=()
+
+stop_all() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
+finish() {
+  local status=$?
+  stop_all
+  if [ "$status" -ne 0 ]; then
+    echo "demo failed with status $status; logs are in $run" >&2
+    for log in "$run"/*.log; do echo "== ${log##*/}" >&2; tail -n 5 "$log" >&2; done
+  else
+    rm -rf "$run"
+  fi
+  exit "$status"
+}
+trap finish EXIT
+
+# Instance names with their data centre and loopback address.
+instances=("north-1 north 127.31.1.1" "north-2 north 127.31.1.2" "south-1 south 127.31.2.1" "south-2 south 127.31.2.2")
+http_port=7400
+link_port=7401
+
+write_settings() { # name data_centre address
+  local dir="$run/settings-$1"
+  mkdir -p "$dir"
+  {
+    printf '[instance]\nname = %s\ndata_centre = %s\n' "$1" "$2"
+    printf 'listen_http = %s:%s\nlisten_link = %s:%s\n' "$3" "$http_port" "$3" "$link_port"
+  } > "$dir/10-instance.ini"
+  for other in "${instances[@]}"; do
+    read -r name centre address <<< "$other"
+    printf '[peer.%s]\nlink = %s:%s\ndata_centre = %s\n' "$name" "$address" "$link_port" "$centre"
+  done > "$dir/20-peers.ini"
+}
+
+entries=()
+for instance in "${instances[@]}"; do
+  read -r name centre address <<< "$instance"
+  write_settings "$name" "$centre" "$address"
+  .bin/hawthornd --settings "$run/settings-$name" --config scripts/demo-config 2> "$run/$name.log" &
+  pids+=($!)
+  entries+=("$centre=$address:$http_port")
+done
+echo "started ${#instances[@]} entry instances"
+
+records=()
+for centre in north south; do
+  number=1
+  [ "$centre" = south ] && number=2
+  for i in 1 2 3; do
+    id="target-$centre-$i"
+    : > "$run/$id.starts"
+    .bin/hawthorn-target --listen "127.31.$number.1$i:7500" --id "$id" --worker "worker-$centre-$i" \
+      --rack "rack-$centre" --data-centre "$centre" --slots 8 --cores 4 --mb 4096 \
+      --entry "127.31.$number.1:$http_port" --entry "127.31.$number.2:$http_port" \
+      --start-record "$run/$id.starts" 2> "$run/$id.log" &
+    pids+=($!)
+    records+=("$run/$id.starts")
+  done
+done
+echo "started ${#records[@]} targets"
+
+flags=()
+for entry in "${entries[@]}"; do flags+=(--entries "$entry"); done
+for record in "${records[@]}"; do flags+=(--records "$record"); done
+.bin/hawthorn-load demo "${flags[@]}" --jobs 120 \
+  --classes lot-check --classes tear-assessment --classes moisture-review \
+  --tenants weighbridge --tenants inspection
