--- /dev/null
+++ b/settings/origins.go
@@ -0,0 +1,24 @@
+package settings
+
+// Name identifies a value of a merged folder.
+type Name struct {
+	Section string // "instance" or "class.urgent"
+	Key     string // empty for the section itself
+}
+
+// String returns "[section] key" or "[section]".
+func (n Name) String() string {
+	if n.Key == "" {
+		return "[" + n.Section + "]"
+	}
+	return "[" + n.Section + "] " + n.Key
+}
+
+// Origins holds the origin of every effective value, defaults included, and of
+// every section that a file opens.
+type Origins map[Name]Origin
+
+// Of returns the origin of a key. A key that no file sets is a default.
+func (o Origins) Of(section, key string) Origin {
+	return o[Name{Section: section, Key: key}]
+}
