Define the HTTP contract between operators and instances

Cause: the server and hawthornctl are written side by side and need the same paths and JSON types. Ruled out: a package of settings (the server would pull the INI library into its API types); bare maps in answers.

--- /dev/null
+++ b/operatorapi/errorreply.go
@@ -0,0 +1,19 @@
+package operatorapi
+
+// ErrorReply is the body of every failed call other than job calls and apply
+// conflicts.
+type ErrorReply struct {
+	Instance string `json:"instance"`       // the instance that answers
+	Step     string `json:"step"`           // the step that failed, such as "forward to leader"
+	Peer     string `json:"peer,omitempty"` // the instance towards which it failed
+	Message  string `json:"message"`
+}
+
+// Error returns the failed step with its peer and the message.
+func (e *ErrorReply) Error() string {
+	text := e.Step
+	if e.Peer != "" {
+		text += " peer=" + e.Peer
+	}
+	return "instance " + e.Instance + ": " + text + ": " + e.Message
+}
--- /dev/null
+++ b/operatorapi/members.go
@@ -0,0 +1,45 @@
+package operatorapi
+
+// MemberState is what the answering instance believes of a member.
+type MemberState string
+
+// States of a member.
+const (
+	MemberAlive   MemberState = "alive"
+	MemberSuspect MemberState = "suspect"
+	MemberDead    MemberState = "dead"
+	MemberLeft    MemberState = "left"
+)
+
+// VoterRole is a member's part in the agreement on the system's state.
+type VoterRole string
+
+// Roles of a member.
+const (
+	RoleNone    VoterRole = "none"
+	RoleLearner VoterRole = "learner"
+	RoleVoter   VoterRole = "voter"
+	RoleLeader  VoterRole = "leader"
+)
+
+// Members answers GET /v1/members: the view of the answering instance.
+type Members struct {
+	Instance string   `json:"instance"`
+	Members  []Member `json:"members"` // ordered by data centre and name
+}
+
+// Member is one entry instance.
+type Member struct {
+	Instance    string      `json:"instance"`
+	DataCentre  string      `json:"data_centre"`
+	Incarnation string      `json:"incarnation"`
+	Link        string      `json:"link"` // IP:port
+	State       MemberState `json:"state"`
+	Role        VoterRole   `json:"role"`
+	// Agreed tells whether the member is in the list that the voters agreed on.
+	Agreed        bool   `json:"agreed"`
+	Draining      bool   `json:"draining"`
+	ConfigVersion uint64 `json:"config_version"`
+	FreeSlots     int    `json:"free_slots"`
+	HeardMS       int64  `json:"heard_ms"` // time since the last heartbeat, in milliseconds
+}
--- /dev/null
+++ b/operatorapi/paths.go
@@ -0,0 +1,20 @@
+package operatorapi
+
+// Paths of an instance's HTTP server.
+const (
+	PathStatus  = "/v1/status"         // GET Status
+	PathMembers = "/v1/members"        // GET Members
+	PathTargets = "/v1/targets"        // GET Targets; POST is the targets' announcement
+	PathClasses = "/v1/classes"        // GET Classes
+	PathConfig  = "/v1/config"         // GET Config, PUT ApplyRequest
+	PathHistory = "/v1/config/history" // GET History
+	PathDrain   = "/v1/drain"          // POST DrainRequest
+	PathJobs    = "/v1/jobs"           // POST structs.Job
+	PathJob     = "/v1/jobs/{id}"      // GET queries, DELETE cancels; query data_centre
+)
+
+// QueryDataCentre is the query parameter that names a job's home.
+const QueryDataCentre = "data_centre"
+
+// QueryLimit is the query parameter that bounds the entries of a History.
+const QueryLimit = "limit"
--- /dev/null
+++ b/operatorapi/status.go
@@ -0,0 +1,32 @@
+package operatorapi
+
+// InstanceState is what an instance says of itself.
+type InstanceState string
+
+// States of an instance. Only a ready instance admits new jobs.
+const (
+	InstanceStarting InstanceState = "starting"
+	InstanceReady    InstanceState = "ready"
+	InstanceDraining InstanceState = "draining"
+)
+
+// Status answers GET /v1/status. It describes the instance that answers.
+type Status struct {
+	Instance    string        `json:"instance"`
+	DataCentre  string        `json:"data_centre"`
+	Incarnation string        `json:"incarnation"`
+	State       InstanceState `json:"state"`
+	// NotReady says why the instance is not ready; empty if it is.
+	NotReady      string `json:"not_ready,omitempty"`
+	Voter         bool   `json:"voter"`
+	Leader        string `json:"leader"` // empty if the instance knows of no leader
+	Term          uint64 `json:"term"`
+	ConfigVersion uint64 `json:"config_version"`
+	StartedUnixMS int64  `json:"started_unix_ms"`
+	// ClockOffsetMS is the instance's clock minus the median of its peers' clocks.
+	ClockOffsetMS int64 `json:"clock_offset_ms"`
+	Partitions    int   `json:"partitions"` // partitions that the instance owns under a lease
+	WaitingTasks  int   `json:"waiting_tasks"`
+	RunningTasks  int   `json:"running_tasks"`
+	OpenRequests  int   `json:"open_requests"` // callers that wait for an answer here
+}
