Report free slots in heartbeats and wait for the horizon before readiness

Cause: peers need the number of slots they may borrow, and a fresh instance answers unknown for every job ID minted before its recovery horizon. Ruled out: a shorter horizon (a clock skew of 1 s on both sides must be covered). Before: balancers would send jobs to an instance that answers unknown for 2 s. After: /readyz answers 503 for that time.

--- a/server/decision.go
+++ b/server/decision.go
@@ -27,6 +27,8 @@
 type effects interface {
 	claimsEffect(now time.Time, effect claims.Effect)
 	dispatchEffect(now time.Time, effect dispatch.Effect)
+	// settled is called when the cores have no effects left.
+	settled(core *dispatch.Core)
 }
 
 // decider owns the claims and dispatch cores.
@@ -101,6 +103,7 @@
 			d.dispatchEffect(now, effect)
 		}
 		if len(fromClaims) == 0 && len(fromDispatch) == 0 {
+			d.effects.settled(d.dispatch)
 			return
 		}
 	}
--- a/server/effects.go
+++ b/server/effects.go
@@ -67,6 +67,11 @@
 		Str("message", answer.Message).Send()
 }
 
+// settled publishes the figures that heartbeats carry.
+func (s *Server) settled(core *dispatch.Core) {
+	s.freeSlots.Store(int32(core.FreeSlots()))
+}
+
 // send queues a one-way message to a peer. A message that cannot be queued is
 // lost like one on a broken link; every exchange has its own timeout.
 func (s *Server) send(peer string, message *wire.Envelope) {
--- a/server/http.go
+++ b/server/http.go
@@ -11,6 +11,10 @@
 	"hawthornshore.example/wire"
 )
 
+// startHorizon is how long after its start an instance cannot tell new job IDs
+// from those of its earlier process.
+const startHorizon = 2 * structs.ClockSkewTolerance
+
 // maxAnnouncementBytes bounds the body of a target's announcement.
 const maxAnnouncementBytes = 64 << 10
 
@@ -27,11 +31,17 @@
 	return mux
 }
 
-// ready tells the balancer whether to send new requests here.
+// ready tells the balancer whether to send new requests here. A fresh instance
+// is not ready while it cannot tell new job IDs from those of its earlier
+// process.
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
-	if s.draining.Load() {
+	switch {
+	case s.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
+	case time.Since(s.started) < startHorizon:
+		http.Error(w, "waiting for the recovery horizon to pass", http.StatusServiceUnavailable)
+		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -32,6 +32,7 @@
 	metrics *metrics
 	http    *http.Server
 
+	started   time.Time
 	draining  atomic.Bool
 	freeSlots atomic.Int32
 	attempts  inflight // attempts being followed
@@ -48,6 +49,7 @@
 		places:  newPlaces(options),
 		waiters: newWaiters(),
 		metrics: newMetrics(),
+		started: time.Now(),
 	}
 	s.attemptOf, s.stopAll = context.WithCancel(context.Background())
 	s.targets = targetapi.NewClient(targetapi.Options{OnMismatch: s.reportMismatch})
