Add the claims core with placement, claim copies and kept answers

Cause: the server needs the claims contract to be executable: at most one admission per job ID, one answer for every submission of it.

Added to claims/events.go (nothing renamed): LeaseChanged.Until, .Epoch and .Confirmed (zero values: Held alone decides), ClockChanged, PeerRestarted, Copy.Origin and Copy.AnyDigest. The server acknowledges a CopyReceived without an answer after Step; the core emits no effect for it. PeerRestarted is for a link whose Hello shows a new incarnation of a member.

Ruled out: a recovery horizon of T + 1 s. The last owner's clock may be one tolerance ahead of this one's and IDs may be one tolerance ahead of that clock, so that the margin is 2 s. Dropping records by the wall clock alone: a clock that is set back would admit a dropped ID again, so that a floor is kept.

--- /dev/null
+++ b/claims/copies.go
@@ -0,0 +1,133 @@
+package claims
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+
+	"hawthornshore.example/structs"
+)
+
+// transfer sends the records of some partitions to a peer that lacks them.
+type transfer struct {
+	peer string
+	ids  []structs.JobID
+}
+
+func (c *Core) sendCopy(r *record, peer string) {
+	if peer != "" && peer != c.opts.Instance {
+		c.emit(SendCopy{Peer: peer, Copy: r.copyOf()})
+	}
+}
+
+// sendAnswer copies an answer to all that may be asked for it: the backup, and
+// the owner if the partition has moved since the job was admitted.
+func (c *Core) sendAnswer(r *record) {
+	p := c.partitionOf(r.id)
+	c.sendCopy(r, p.owner)
+	c.sendCopy(r, p.backup)
+}
+
+// copyReceived keeps what the owner knows. A record of this instance's own
+// decisions is never replaced.
+func (c *Core) copyReceived(e CopyReceived) {
+	r := c.records[e.Copy.JobID]
+	if r != nil && r.state != foreign {
+		return
+	}
+	if r == nil {
+		r = c.addForeign(e)
+	}
+	if e.Copy.Answer != nil {
+		c.finish(r, *e.Copy.Answer)
+	}
+}
+
+func (c *Core) addForeign(e CopyReceived) *record {
+	r := &record{
+		id:        e.Copy.JobID,
+		digest:    e.Copy.Digest,
+		anyDigest: e.Copy.AnyDigest,
+		deadline:  e.Copy.DeadlineUnixMS,
+		state:     foreign,
+		origin:    cmp.Or(e.Copy.Origin, e.Peer),
+	}
+	c.add(r)
+	return r
+}
+
+// retarget adapts to new members: claims that wait for an acknowledgement are
+// sent to the new backup, requests for jobs of lost owners are answered, and
+// peers that need this instance's records get them.
+func (c *Core) retarget() {
+	peers := make(map[string][]structs.JobID)
+	for _, id := range c.sortedIDs() {
+		r := c.records[id]
+		p := c.partitionOf(id)
+		if c.orphaned(r) {
+			c.tellWaiters(r, unknown(id, structs.ReasonOwnerLost, "the job's owner was lost"))
+		}
+		if r.state == copying && p.backup != r.copyPeer {
+			r.copyPeer = p.backup
+			c.sendCopy(r, p.backup)
+		}
+		peers[p.owner] = append(peers[p.owner], id)
+		peers[p.backup] = append(peers[p.backup], id)
+	}
+	c.transfers = nil
+	for _, peer := range c.members {
+		c.startTransfer(peer, peers[peer])
+	}
+}
+
+// peerRestarted sends the records that a member lost with its memory. Jobs that
+// it admitted before will not be answered.
+func (c *Core) peerRestarted(peer string) {
+	var ids []structs.JobID
+	for _, id := range c.sortedIDs() {
+		r := c.records[id]
+		if r.state == foreign && r.origin == peer {
+			r.origin = ""
+			c.tellWaiters(r, unknown(id, structs.ReasonOwnerLost, "the job's owner was lost"))
+		}
+		if p := c.partitionOf(id); p.owner == peer || p.backup == peer {
+			ids = append(ids, id)
+		}
+	}
+	c.startTransfer(peer, ids)
+}
+
+// sortedIDs returns the IDs of all records, the oldest first.
+func (c *Core) sortedIDs() []structs.JobID {
+	ids := slices.Collect(maps.Keys(c.records))
+	slices.SortFunc(ids, func(a, b structs.JobID) int { return bytes.Compare(a[:], b[:]) })
+	return ids
+}
+
+func (c *Core) startTransfer(peer string, ids []structs.JobID) {
+	if len(ids) == 0 || peer == c.opts.Instance {
+		return
+	}
+	if len(c.transfers) == 0 {
+		c.transferAt = c.now
+	}
+	c.transfers = append(c.transfers, transfer{peer: peer, ids: ids})
+}
+
+// transferSome sends the next batch.
+func (c *Core) transferSome() {
+	for n := 0; n < transferBatch && len(c.transfers) > 0; {
+		t := &c.transfers[0]
+		if len(t.ids) == 0 {
+			c.transfers = c.transfers[1:]
+			continue
+		}
+		if r := c.records[t.ids[0]]; r != nil {
+			c.sendCopy(r, t.peer)
+			n++
+		}
+		t.ids = t.ids[1:]
+	}
+	c.transferAt = c.now + transferInterval
+}
--- a/claims/events.go
+++ b/claims/events.go
@@ -1,6 +1,8 @@
 package claims
 
 import (
+	"time"
+
 	"hawthornshore.example/structs"
 )
 
@@ -66,8 +68,29 @@
 	Members []string
 }
 
-// LeaseChanged says whether this instance may act as an owner.
-type LeaseChanged struct{ Held bool }
+// LeaseChanged says whether this instance may act as an owner. The zero values
+// of the other fields mean that Held alone decides.
+type LeaseChanged struct {
+	Held bool
+	// Until is when the lease ends unless it is renewed. The core compares it
+	// with the time of each Step, so that an instance that was frozen does not
+	// act on a lease that ended in the meantime.
+	Until time.Time
+	// Epoch is the epoch of members the lease is for. Nothing is admitted while
+	// it differs from the epoch of MembersChanged.
+	Epoch uint64
+	// Confirmed says that all members have agreed to the epoch, so that the
+	// partitions gained with it may be used. Only looked at if Epoch is set.
+	Confirmed bool
+}
+
+// ClockChanged says whether this instance's clock is too far from those of its
+// peers to admit jobs.
+type ClockChanged struct{ Skewed bool }
+
+// PeerRestarted says that a member runs as a new process and has lost its
+// memory. The core sends it the records it needs.
+type PeerRestarted struct{ Peer string }
 
 // Tick lets the core act on timers; it is due at NextWake.
 type Tick struct{}
@@ -82,6 +105,8 @@
 func (CopyReceived) isEvent()   {}
 func (MembersChanged) isEvent() {}
 func (LeaseChanged) isEvent()   {}
+func (ClockChanged) isEvent()   {}
+func (PeerRestarted) isEvent()  {}
 func (Tick) isEvent()           {}
 
 // Copy is what the backup keeps of a job.
@@ -90,6 +115,11 @@
 	Digest         Digest
 	DeadlineUnixMS int64
 	Answer         *structs.Answer // nil while the job is not finished
+	// Origin is the instance that admitted the job; empty if it is the sender.
+	Origin string
+	// AnyDigest is set if the ID was cancelled before its body was seen, so
+	// that Digest means nothing.
+	AnyDigest bool
 }
 
 // Admit asks the dispatch core for a decision on a new job.
--- /dev/null
+++ b/claims/ownership.go
@@ -0,0 +1,90 @@
+package claims
+
+import (
+	"slices"
+
+	"hawthornshore.example/structs"
+)
+
+// membersChanged takes newer agreed members. A partition that this instance did
+// not own before is not ready until the lease for the new members is held.
+func (c *Core) membersChanged(e MembersChanged) {
+	if e.Epoch <= c.epoch && c.members != nil {
+		return
+	}
+	c.epoch = e.Epoch
+	c.members = slices.Clone(e.Members)
+	slices.Sort(c.members)
+	c.members = slices.Compact(c.members)
+	for i := range c.partitions {
+		p := &c.partitions[i]
+		p.owner, p.backup = topTwo(c.members, partitionKey(i))
+		p.ready = p.ready && p.owner == c.opts.Instance
+	}
+	c.retarget()
+	c.acquire()
+	c.releaseHeld()
+}
+
+func (c *Core) leaseChanged(e LeaseChanged) {
+	c.lease = e
+	c.acquire()
+	c.releaseHeld()
+}
+
+// acquire makes the owned partitions ready. IDs from before now may have been
+// admitted by an earlier owner.
+func (c *Core) acquire() {
+	if !c.leaseHeld() || c.lease.Epoch != 0 && !c.lease.Confirmed {
+		return
+	}
+	for i := range c.partitions {
+		p := &c.partitions[i]
+		if p.owner != c.opts.Instance || p.ready {
+			continue
+		}
+		p.ready = true
+		p.horizon = max(p.horizon, c.wall+horizonMargin.Milliseconds())
+	}
+}
+
+// releaseHeld releases the jobs whose claims were copied while the lease was
+// not held.
+func (c *Core) releaseHeld() {
+	if !c.leaseHeld() {
+		return
+	}
+	ids := c.held
+	c.held = nil
+	for _, id := range ids {
+		if r := c.records[id]; r != nil && r.state == held {
+			c.claimCopied(r)
+		}
+	}
+}
+
+// clockChanged refuses new jobs while the clock is off. When it is right again,
+// IDs from before now may have been dropped too early or admitted by an earlier
+// process, so that they are below the horizon.
+func (c *Core) clockChanged(skewed bool) {
+	if c.skewed && !skewed {
+		for i := range c.partitions {
+			p := &c.partitions[i]
+			p.horizon = max(p.horizon, c.wall+horizonMargin.Milliseconds())
+		}
+	}
+	c.skewed = skewed
+}
+
+func (c *Core) isMember(instance string) bool {
+	_, ok := slices.BinarySearch(c.members, instance)
+	return ok
+}
+
+// orphaned says whether the instance that admitted a job is lost, so that its
+// answer will not come.
+func (c *Core) orphaned(r *record) bool {
+	return r.state == foreign && (r.origin == c.opts.Instance || !c.isMember(r.origin))
+}
+
+func (c *Core) partitionOf(id structs.JobID) *partition { return &c.partitions[Partition(id)] }
--- /dev/null
+++ b/claims/submit.go
@@ -0,0 +1,181 @@
+package claims
+
+import (
+	"hawthornshore.example/structs"
+)
+
+func (c *Core) submit(e Submit) {
+	if _, waiting := c.requests[e.Request]; waiting {
+		return
+	}
+	r := c.records[e.Job.ID]
+	switch {
+	case r == nil:
+		c.submitNew(e)
+	case !r.anyDigest && r.digest != e.Digest:
+		c.reply(e.Request, unknown(e.Job.ID, structs.ReasonBodyMismatch,
+			"the job ID was submitted before with another body"))
+	default:
+		c.attach(r, e.Request)
+	}
+}
+
+// submitNew decides on an ID without a record.
+func (c *Core) submitNew(e Submit) {
+	id := e.Job.ID
+	if a, ok := c.mayAdmit(id); !ok {
+		c.reply(e.Request, a)
+		return
+	}
+	r := &record{id: id, digest: e.Digest, deadline: e.Job.DeadlineUnixMS}
+	if reason, message := c.refusal(&e.Job); reason != "" {
+		c.refuse(r, e.Request, reason, message)
+		return
+	}
+	c.add(r)
+	c.emit(Admit{Job: e.Job})
+	c.attach(r, e.Request)
+}
+
+// mayAdmit says whether it is certain that an ID without a record was never
+// admitted, here or elsewhere. If not, it returns the answer.
+func (c *Core) mayAdmit(id structs.JobID) (structs.Answer, bool) {
+	p := &c.partitions[Partition(id)]
+	t := id.Time().UnixMilli()
+	switch {
+	case !c.mayAct(p):
+		return unknown(id, structs.ReasonNoLease, "this instance may not act as the job's owner"), false
+	case t <= c.wall-structs.AnswerRetention.Milliseconds() || t <= c.floor:
+		return unknown(id, structs.ReasonExpiredJobID, "the job ID is older than answers are kept"), false
+	case t < p.horizon:
+		return unknown(id, structs.ReasonHorizon, "the job ID is older than this owner's knowledge"), false
+	case len(c.records) >= c.opts.MaxRecords:
+		return unknown(id, structs.ReasonNoCapacity, "the table of job IDs is full"), false
+	case c.fromFuture(id) && c.futures >= maxFutureRecords:
+		return unknown(id, structs.ReasonFutureJobID, "too many job IDs are from the future"), false
+	}
+	return structs.Answer{}, true
+}
+
+// refusal returns why a job that was never admitted is refused, if it is.
+func (c *Core) refusal(j *structs.Job) (structs.Reason, string) {
+	switch {
+	case c.fromFuture(j.ID):
+		return structs.ReasonFutureJobID, "the job ID carries a time in the future"
+	case c.skewed:
+		return structs.ReasonClockSkew, "the owner's clock differs from those of its peers"
+	case j.DeadlineUnixMS <= c.wall:
+		return structs.ReasonDeadlinePassed, "the deadline had passed on arrival"
+	}
+	return "", ""
+}
+
+func (c *Core) fromFuture(id structs.JobID) bool {
+	return id.Time().UnixMilli() > c.wall+structs.ClockSkewTolerance.Milliseconds()
+}
+
+// refuse records the refusal before it is told, so that no duplicate of the
+// request is admitted later.
+func (c *Core) refuse(r *record, req RequestID, reason structs.Reason, message string) {
+	r.future = c.fromFuture(r.id)
+	r.state = finished
+	c.add(r)
+	c.finish(r, notRun(r.id, reason, message))
+	if r.future {
+		// A horizon does not cover IDs from the future, so that the copy is
+		// what remains of the refusal if this instance is lost.
+		c.sendCopy(r, c.partitions[Partition(r.id)].backup)
+	}
+	c.attach(r, req)
+}
+
+// add puts a new record into the table.
+func (c *Core) add(r *record) {
+	c.records[r.id] = r
+	if r.future {
+		c.futures++
+	}
+	if r.state == finished {
+		return
+	}
+	r.due = c.after(r.deadline) + answerGrace
+	c.timers.add(r.due, r.id)
+	r.expires = max(r.due, c.after(r.id.Time().UnixMilli())) + structs.AnswerRetention
+	c.timers.add(r.expires, r.id)
+}
+
+// attach answers a request from the record or makes it wait for the answer.
+func (c *Core) attach(r *record, req RequestID) {
+	switch {
+	case r.state == finished:
+		c.reply(req, *r.answer)
+	case c.orphaned(r):
+		c.reply(req, unknown(r.id, structs.ReasonOwnerLost, "the job's owner was lost"))
+	case c.deadlinePassed(r):
+		c.reply(req, lateAnswer(r))
+	default:
+		r.waiters = append(r.waiters, req)
+		c.requests[req] = r.id
+	}
+}
+
+func (c *Core) query(e Query) {
+	if _, waiting := c.requests[e.Request]; waiting {
+		return
+	}
+	if r := c.records[e.JobID]; r != nil {
+		c.attach(r, e.Request)
+		return
+	}
+	a, admissible := c.mayAdmit(e.JobID)
+	if admissible {
+		// Not proven not-run: the submission may still arrive.
+		a = unknown(e.JobID, "", "no submission of the job has arrived")
+	}
+	c.reply(e.Request, a)
+}
+
+// cancel stops a job. An ID that was never admitted is recorded as refused, so
+// that a submission that arrives after its cancellation does not run.
+func (c *Core) cancel(e Cancel) {
+	if _, waiting := c.requests[e.Request]; waiting {
+		return
+	}
+	r := c.records[e.JobID]
+	if r == nil {
+		c.cancelUnseen(e)
+		return
+	}
+	switch {
+	case r.state < released:
+		c.withdraw(r, structs.ReasonCancelled, "cancelled before the job could start")
+	case r.state == released && !r.cancelled:
+		r.cancelled = true
+		c.emit(CancelJob{JobID: r.id})
+	}
+	c.attach(r, e.Request)
+}
+
+func (c *Core) cancelUnseen(e Cancel) {
+	if a, ok := c.mayAdmit(e.JobID); !ok {
+		c.reply(e.Request, a)
+		return
+	}
+	r := &record{id: e.JobID, anyDigest: true}
+	c.refuse(r, e.Request, structs.ReasonCancelled, "cancelled before its submission arrived")
+}
+
+func (c *Core) abandon(req RequestID) {
+	id, waiting := c.requests[req]
+	if !waiting {
+		return
+	}
+	delete(c.requests, req)
+	r := c.records[id]
+	for i, w := range r.waiters {
+		if w == req {
+			r.waiters = append(r.waiters[:i], r.waiters[i+1:]...)
+			return
+		}
+	}
+}
