Fix the demo script: each instance gets its own settings

Cause: the loop over peers in write_settings overwrote the loop variable of the caller, so four daemons ran with the settings of the last one. Ruled out: a fault of the links (the logs show one instance name four times). Before: 3 of 4 daemons failed to listen.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,7 +31,7 @@
 link_port=7401
 
 write_settings() { # name data_centre address
-  local dir="$run/settings-$1"
+  local dir="$run/settings-$1" other name centre address
   mkdir -p "$dir"
   {
     printf '[instance]\nname = %s\ndata_centre = %s\n' "$1" "$2"
