--- /dev/null
+++ b/server/decode_test.go
@@ -0,0 +1,102 @@
+package server_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/server"
+	"hawthornshore.example/structs"
+)
+
+func TestServer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "server")
+}
+
+const goodBody = `{"job_id":"01a23fd1-97f6-7d92-ba61-1e7ca1264f85","data_centre":"north","tenant":"t","class":"c",
+"deadline_unix_ms":1796367026160,"tasks":[{"payload":{"a":1},"declared_ms":50}]}`
+
+var _ = Describe("DecodeJob", func() {
+	It("reads a job", func() {
+		job, _, err := server.DecodeJob(strings.NewReader(goodBody))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(job.Tasks).To(HaveLen(1))
+		Expect(job.ID.String()).To(Equal("01a23fd1-97f6-7d92-ba61-1e7ca1264f85"))
+	})
+
+	// Guards against a resubmission that is taken for another job because its
+	// client formats JSON differently.
+	It("gives bodies that differ only in white space one digest", func() {
+		_, first, err := server.DecodeJob(strings.NewReader(goodBody))
+		Expect(err).NotTo(HaveOccurred())
+		var compact bytes.Buffer
+		Expect(json.Compact(&compact, []byte(goodBody))).To(Succeed())
+		_, second, err := server.DecodeJob(&compact)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second).To(Equal(first))
+	})
+
+	// Guards against bad input that reaches an owner or a target.
+	DescribeTable("refuses bad bodies with a typed reason",
+		func(old, replacement string, want structs.Reason) {
+			body := strings.Replace(goodBody, old, replacement, 1)
+			_, _, err := server.DecodeJob(strings.NewReader(body))
+			var request *structs.RequestError
+			Expect(errors.As(err, &request)).To(BeTrue(), "error: %v", err)
+			Expect(request.Reason).To(Equal(want))
+			Expect(request.Message).NotTo(BeEmpty())
+		},
+		Entry("cut off", `"declared_ms":50}]}`, `"declared_ms":`, structs.ReasonMalformed),
+		Entry("data after the object", `"declared_ms":50}]}`, `"declared_ms":50}]} {}`, structs.ReasonMalformed),
+		Entry("unknown field", `"tenant"`, `"customer"`, structs.ReasonMalformed),
+		Entry("no tasks", `{"payload":{"a":1},"declared_ms":50}`, ``, structs.ReasonBadTaskCount),
+		Entry("151 tasks", `{"payload":{"a":1},"declared_ms":50}`, strings.Repeat(`{},`, 150)+`{}`, structs.ReasonBadTaskCount),
+		Entry("version 4 ID", `01a23fd1-97f6-7d92`, `01a23fd1-97f6-4d92`, structs.ReasonBadJobID),
+		Entry("no ID", `"job_id":"01a23fd1-97f6-7d92-ba61-1e7ca1264f85",`, ``, structs.ReasonBadJobID),
+		Entry("empty tenant", `"tenant":"t"`, `"tenant":""`, structs.ReasonBadField),
+		Entry("no deadline", `1796367026160`, `0`, structs.ReasonBadField),
+		Entry("negative run time", `"declared_ms":50`, `"declared_ms":-1`, structs.ReasonBadField),
+	)
+
+	// Guards against memory that grows with the size of a request.
+	It("refuses an oversized body", func() {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat(" ", structs.MaxBodyBytes+1)))
+		_, _, err := server.DecodeJob(http.MaxBytesReader(recorder, request.Body, structs.MaxBodyBytes))
+		var refusal *structs.RequestError
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Reason).To(Equal(structs.ReasonBodyTooLarge))
+	})
+})
+
+func FuzzDecodeJob(f *testing.F) {
+	f.Add([]byte(goodBody))
+	f.Add([]byte(`{"tasks":[null]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		job, digest, err := server.DecodeJob(bytes.NewReader(body))
+		if err != nil {
+			var request *structs.RequestError
+			if !errors.As(err, &request) {
+				t.Fatalf("error without a reason: %v", err)
+			}
+			return
+		}
+		// Guards against an accepted job that changes on its way to the owner.
+		again, err := json.Marshal(job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, second, err := server.DecodeJob(bytes.NewReader(again))
+		if err != nil || second != digest {
+			t.Fatalf("digest %d became %d after a round trip (%v)", digest, second, err)
+		}
+	})
+}
--- /dev/null
+++ b/wire/mesh_test.go
@@ -0,0 +1,175 @@
+package wire_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/wire"
+)
+
+func TestWire(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "wire")
+}
+
+// recorder is a Handler that remembers what arrived.
+type recorder struct {
+	mu   sync.Mutex
+	ups  int
+	seen []*wire.Envelope
+}
+
+func (r *recorder) HandleMessage(_ string, message *wire.Envelope) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if message.GetHeartbeat() == nil {
+		r.seen = append(r.seen, message)
+	}
+}
+
+func (r *recorder) HandleCall(_ context.Context, peer string, request *wire.Envelope) (*wire.Envelope, error) {
+	if request.GetOperatorRequest().GetCommand() == "fail" {
+		return nil, errors.New("refused by " + peer)
+	}
+	return request, nil
+}
+
+func (r *recorder) LinkUp(*wire.Hello) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ups++
+}
+
+func (r *recorder) LinkDown(string, error) {}
+
+func (r *recorder) Heartbeat() *wire.Heartbeat { return &wire.Heartbeat{} }
+
+func (r *recorder) counts() (ups, seen int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ups, len(r.seen)
+}
+
+// holdable is a listener whose accepted connections can be made silent: they
+// stay open, but nothing passes any more.
+type holdable struct {
+	net.Listener
+	mu   sync.Mutex
+	held []*heldConn
+}
+
+type heldConn struct {
+	net.Conn
+	silent chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case <-c.silent:
+		select {} // the bytes never arrive
+	default:
+		return n, err
+	}
+}
+
+func (l *holdable) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	held := &heldConn{Conn: conn, silent: make(chan struct{})}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = append(l.held, held)
+	return held, nil
+}
+
+// silence makes the connections accepted so far silent.
+func (l *holdable) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.held {
+		close(conn.silent)
+	}
+	l.held = nil
+}
+
+func listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
+var _ = Describe("Mesh", func() {
+	var (
+		a, b         *recorder
+		meshA, meshB *wire.Mesh
+		gate         *holdable
+	)
+
+	BeforeEach(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		listenerA := listen()
+		gate = &holdable{Listener: listen()}
+		a, b = &recorder{}, &recorder{}
+		meshA = wire.NewMesh(wire.MeshOptions{
+			Self: &wire.Hello{Instance: "a"}, Listener: listenerA, Handler: a,
+			Peers: []wire.Peer{{Name: "b", Address: gate.Addr().String()}},
+		})
+		meshB = wire.NewMesh(wire.MeshOptions{
+			Self: &wire.Hello{Instance: "b"}, Listener: gate, Handler: b,
+			Peers: []wire.Peer{{Name: "a", Address: listenerA.Addr().String()}},
+		})
+		for _, mesh := range []*wire.Mesh{meshA, meshB} {
+			go func() { _ = mesh.Run(ctx) }()
+		}
+		Eventually(func() bool { return meshA.Linked("b") && meshB.Linked("a") }, "10s").Should(BeTrue())
+	})
+
+	request := func(command string) *wire.Envelope {
+		return &wire.Envelope{Body: &wire.Envelope_OperatorRequest{OperatorRequest: &wire.OperatorRequest{Command: command}}}
+	}
+
+	// Guards against one-way messages that only pass in the direction of the dial.
+	It("passes messages and calls in both directions", func() {
+		Expect(meshA.Send("b", request("x"))).To(Succeed())
+		Expect(meshB.Send("a", request("y"))).To(Succeed())
+		Eventually(func() int { _, seen := a.counts(); return seen }, "10s").Should(Equal(1))
+		Eventually(func() int { _, seen := b.counts(); return seen }, "10s").Should(Equal(1))
+		for mesh, peer := range map[*wire.Mesh]string{meshA: "b", meshB: "a"} {
+			reply, err := mesh.Call(context.Background(), peer, request("echo"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetOperatorRequest().GetCommand()).To(Equal("echo"))
+		}
+	})
+
+	// Guards against a failed call that looks like an empty reply.
+	It("reports the peer's error and a missing link with step and peer", func() {
+		_, err := meshA.Call(context.Background(), "b", request("fail"))
+		Expect(err).To(MatchError(ContainSubstring("call peer=b: refused by a")))
+		_, err = meshA.Call(context.Background(), "c", request("x"))
+		Expect(errors.Is(err, wire.ErrNoLink)).To(BeTrue())
+	})
+
+	// Guards against a link that stays in use after its connection went silent
+	// for good, while new connections work.
+	It("replaces a silent link", func() {
+		gate.silence()
+		Eventually(func() int { ups, _ := b.counts(); return ups }, 20*time.Second).Should(BeNumerically(">=", 2))
+		Eventually(func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := meshA.Call(ctx, "b", request("echo"))
+			return err
+		}, "10s").Should(Succeed())
+	})
+})
