--- a/settings/daemon_test.go
+++ b/settings/daemon_test.go
@@ -22,7 +22,7 @@
 		}))
 		Expect(d.Instance.Voter()).To(BeFalse())
 		Expect(d.Limits).To(Equal(settings.Limits{
-			DrainTimeout: 30 * time.Second, MaxConnections: 8192, HeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64_000,
+			DrainDelay: 3 * time.Second, DrainTimeout: 30 * time.Second, MaxConnections: 8192, HeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64_000,
 		}))
 	})
 
--- /dev/null
+++ b/settings/detect.go
@@ -0,0 +1,29 @@
+package settings
+
+import "gopkg.in/ini.v1"
+
+// DetectDocument tells which document a folder holds: daemon settings if any
+// of its files has a section of them, otherwise the system configuration.
+// Files that cannot be read or parsed are skipped; loading reports them.
+func DetectDocument(dir string) *Document {
+	files, _, err := Files(dir)
+	if err != nil {
+		return &systemDocument
+	}
+	for _, file := range files {
+		content, err := readFile(file)
+		if err != nil {
+			continue
+		}
+		parsed, err := ini.LoadSources(loadOptions, content)
+		if err != nil {
+			continue
+		}
+		for _, name := range parsed.SectionStrings() {
+			if spec, _ := daemonDocument.section(name); spec != nil {
+				return &daemonDocument
+			}
+		}
+	}
+	return &systemDocument
+}
--- /dev/null
+++ b/settings/instance.go
@@ -0,0 +1,26 @@
+package settings
+
+// Instance is what an instance knows of itself.
+type Instance struct {
+	Name       string
+	DataCentre string
+	ListenHTTP string // IP:port for callers, targets and operators
+	ListenLink string // IP:port for other instances
+	DataFolder string // empty if the instance is not a voter
+	LogLevel   string // debug, info, warn or error
+}
+
+// Voter tells whether the instance votes on the system's state.
+func (i Instance) Voter() bool { return i.DataFolder != "" }
+
+func (m *merged) instance() Instance {
+	s := m.section("instance")
+	return Instance{
+		Name:       s.text("name"),
+		DataCentre: s.text("data_centre"),
+		ListenHTTP: s.text("listen_http"),
+		ListenLink: s.text("listen_link"),
+		DataFolder: s.path("data_folder"),
+		LogLevel:   s.text("log_level"),
+	}
+}
--- a/settings/kind.go
+++ b/settings/kind.go
@@ -68,8 +68,8 @@
 
 func (k Kind) numeric() bool { return k >= KindInteger }
 
-// check returns what is wrong with a value, or "".
-func (s *KeySpec) check(text string) string {
+// Check returns what is wrong with a value, or "".
+func (s *KeySpec) Check(text string) string {
 	if text == "" && s.Default == "" && !s.Required {
 		return ""
 	}
--- a/settings/merge.go
+++ b/settings/merge.go
@@ -83,7 +83,7 @@
 	}
 	if _, ok := m.origins[name]; !ok {
 		m.sections = append(m.sections, line.section)
-		m.origins[name] = Origin{File: file, Line: line.line}
+		m.origins[name] = Origin{Place: Place{File: file, Line: line.line}}
 	}
 }
 
@@ -102,13 +102,13 @@
 		m.problem(file, line.line, name.String(), "unknown key", strings.Join(spec.keyNames(), ", "))
 		return
 	}
-	if message := key.check(value); message != "" {
+	if message := key.Check(value); message != "" {
 		m.problem(file, line.line, name.String(), message, key.Allowed())
 		return
 	}
-	origin := Origin{File: file, Line: line.line}
+	origin := Origin{Place: Place{File: file, Line: line.line}}
 	if before, ok := m.origins[name]; ok {
-		origin.Overridden = append(before.Overridden, Origin{File: before.File, Line: before.Line})
+		origin.Overridden = append(before.Overridden, before.Place)
 	}
 	m.values[name] = value
 	m.origins[name] = origin
--- a/settings/problem.go
+++ b/settings/problem.go
@@ -14,19 +14,22 @@
 	Allowed string `json:"allowed,omitempty"` // the allowed values, in words
 }
 
-// String returns "file:line: [section] key: message (allowed: values)".
+// String returns "file:line: [section] key: message (allowed: values)", without
+// the parts that the problem does not have.
 func (p Problem) String() string {
-	var b strings.Builder
-	b.WriteString(p.File)
+	place := p.File
 	if p.Line > 0 {
-		b.WriteString(":" + strconv.Itoa(p.Line))
+		place += ":" + strconv.Itoa(p.Line)
 	}
-	if p.Key != "" {
-		b.WriteString(": " + p.Key)
+	var parts []string
+	for _, part := range []string{place, p.Key, p.Message} {
+		if part != "" {
+			parts = append(parts, part)
+		}
 	}
-	b.WriteString(": " + p.Message)
+	text := strings.Join(parts, ": ")
 	if p.Allowed != "" {
-		b.WriteString(" (allowed: " + p.Allowed + ")")
+		text += " (allowed: " + p.Allowed + ")"
 	}
-	return b.String()
+	return text
 }
--- a/settings/table.go
+++ b/settings/table.go
@@ -36,6 +36,7 @@
 			{Name: "operator_authority", Kind: KindPath, Doc: "Certificate authority that must have signed the certificates of operators' clients."},
 		}},
 		{Kind: "limits", Doc: "Bounds on the daemon's use of resources.", Keys: []KeySpec{
+			{Name: "drain_delay", Kind: KindDuration, Default: "3s", Min: 0, Max: float64(time.Minute), Doc: "Time that a stopping instance reports not ready before it refuses connections, so that the load balancer takes it out first."},
 			{Name: "drain_timeout", Kind: KindDuration, Default: "30s", Min: float64(time.Second), Max: float64(time.Hour), Doc: "Longest time that a planned stop waits for requests in flight."},
 			{Name: "max_connections", Kind: KindInteger, Default: "8192", Min: 16, Max: 1_000_000, Unit: "connections", Doc: "Most connections that are open on the HTTP address at once."},
 			{Name: "header_timeout", Kind: KindDuration, Default: "5s", Min: float64(100 * time.Millisecond), Max: float64(time.Minute), Doc: "Longest time that a client may take to send the headers of a request."},
