Add TLS to the links between instances, with reload of changed files

Cause: an unauthorised peer could join the links. Ruled out: host name checks (instances are addressed by IP number; the hello message carries the name and is checked against the configured peers). Before: plain TCP only, refused connections left no trace. After: certificates of one authority on both sides if configured, and a link_refused event.

--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"os"
@@ -77,6 +78,10 @@
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "listen for instances")
 	}
+	links, clientTLS, err := secureLinks(links, &daemon.TLS.Link)
+	if err != nil {
+		return server.Options{}, err
+	}
 	return server.Options{
 		Name:         daemon.Instance.Name,
 		DataCentre:   daemon.Instance.DataCentre,
@@ -84,12 +89,25 @@
 		HTTPListener: callers,
 		LinkListener: links,
 		Peers:        peers(daemon),
+		ClientTLS:    clientTLS,
 		Logger:       server.NewLogger(os.Stderr, level),
 		DrainDelay:   args.DrainDelay,
 		DrainTimeout: daemon.Limits.DrainTimeout,
 	}, nil
 }
 
+// secureLinks adds TLS to the links between instances if it is configured.
+func secureLinks(links net.Listener, files *settings.KeyPair) (net.Listener, *tls.Config, error) {
+	if files.Certificate == "" {
+		return links, nil, nil
+	}
+	certificates, err := server.LoadCertificates(files.Certificate, files.Key, files.Authority)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "links")
+	}
+	return tls.NewListener(links, certificates.ServerTLS()), certificates.ClientTLS(), nil
+}
+
 func peers(daemon *settings.Daemon) []server.Peer {
 	var peers []server.Peer
 	for _, peer := range daemon.Others() {
--- /dev/null
+++ b/server/certificates.go
@@ -0,0 +1,131 @@
+package server
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// errNoAuthority means that an authority file holds no certificate.
+var errNoAuthority = errors.New("file holds no certificate")
+
+// Certificates are PEM files for TLS with certificates on both sides. Changed
+// files are read again at the next handshake, so that a renewal needs no
+// restart. A file that cannot be read then leaves the last good ones in use.
+type Certificates struct {
+	certificate string
+	key         string
+	authority   string
+
+	mu      sync.Mutex
+	changed time.Time // newest modification time of the files in use
+	pair    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// LoadCertificates reads the files once, so that a mistake is reported at start.
+func LoadCertificates(certificate, key, authority string) (*Certificates, error) {
+	c := &Certificates{certificate: certificate, key: key, authority: authority}
+	changed, err := c.newest()
+	if err != nil {
+		return nil, err
+	}
+	return c, c.load(changed)
+}
+
+// newest returns the newest modification time of the files.
+func (c *Certificates) newest() (time.Time, error) {
+	var newest time.Time
+	for _, path := range []string{c.certificate, c.key, c.authority} {
+		info, err := os.Stat(path)
+		if err != nil {
+			return newest, fmt.Errorf("certificates: %w", err)
+		}
+		if info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest, nil
+}
+
+func (c *Certificates) load(changed time.Time) error {
+	pair, err := tls.LoadX509KeyPair(c.certificate, c.key)
+	if err != nil {
+		return fmt.Errorf("certificate %s: %w", c.certificate, err)
+	}
+	pem, err := os.ReadFile(c.authority)
+	if err != nil {
+		return fmt.Errorf("authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("authority %s: %w", c.authority, errNoAuthority)
+	}
+	c.pair, c.pool, c.changed = &pair, pool, changed
+	return nil
+}
+
+// current returns the certificate and the authorities, read again if a file
+// has changed.
+func (c *Certificates) current() (*tls.Certificate, *x509.CertPool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if changed, err := c.newest(); err == nil && changed.After(c.changed) {
+		_ = c.load(changed) // keeps the last good files
+	}
+	return c.pair, c.pool
+}
+
+// ServerTLS accepts only peers with a certificate of the authority.
+func (c *Certificates) ServerTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			pair, pool := c.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*pair},
+				ClientCAs:    pool,
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+			}, nil
+		},
+	}
+}
+
+// ClientTLS presents the certificate and accepts any server certificate of the
+// authority. Instances are addressed by IP number, so the host name is not
+// checked; the instance name in the hello message is.
+func (c *Certificates) ClientTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			pair, _ := c.current()
+			return pair, nil
+		},
+		InsecureSkipVerify: true, // VerifyConnection checks the chain
+		VerifyConnection: func(state tls.ConnectionState) error {
+			_, pool := c.current()
+			return verifyChain(state.PeerCertificates, pool)
+		},
+	}
+}
+
+func verifyChain(chain []*x509.Certificate, pool *x509.CertPool) error {
+	if len(chain) == 0 {
+		return errors.New("peer sent no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         pool,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return err
+}
--- a/server/messages.go
+++ b/server/messages.go
@@ -65,6 +65,11 @@
 	s.reviewTargets()
 }
 
+// LinkRefused reports a connection that did not become a link.
+func (s *Server) LinkRefused(address string, cause error) {
+	s.log.Warn().Str("event", "link_refused").Str("step", "link").Str("peer", address).Err(cause).Send()
+}
+
 // Heartbeat returns the body of the next heartbeat on a link.
 func (s *Server) Heartbeat() *wire.Heartbeat {
 	return &wire.Heartbeat{
--- a/wire/handler.go
+++ b/wire/handler.go
@@ -19,6 +19,9 @@
 	// LinkUp and LinkDown report changes of the link to a peer.
 	LinkUp(peer *Hello)
 	LinkDown(peer string, cause error)
+	// LinkRefused reports a connection that did not become a link, and the
+	// first of several failures in a row to dial a peer.
+	LinkRefused(address string, cause error)
 	// Heartbeat returns the body of the next heartbeat.
 	Heartbeat() *Heartbeat
 }
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -79,24 +79,42 @@
 
 func (m *Mesh) serveAccepted(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
+	if err := m.acceptLink(ctx, conn); err != nil {
+		m.options.Handler.LinkRefused(conn.RemoteAddr().String(), err)
+	}
+}
+
+// acceptLink serves a link over an accepted connection. The error says why the
+// connection did not become a link.
+func (m *Mesh) acceptLink(ctx context.Context, conn net.Conn) error {
+	handshake, cancel := context.WithTimeout(ctx, structs.LinkTimeout)
+	defer cancel()
+	if secure, ok := conn.(*tls.Conn); ok {
+		if err := secure.HandshakeContext(handshake); err != nil {
+			return fmt.Errorf("authenticate: %w", err)
+		}
+	}
 	session, err := yamux.Server(conn, yamuxConfig())
 	if err != nil {
-		return
+		return err
 	}
 	defer session.Close()
-	handshake, cancel := context.WithTimeout(ctx, structs.LinkTimeout)
-	defer cancel()
 	flow, err := session.AcceptStreamWithContext(handshake)
 	if err != nil {
-		return
+		return fmt.Errorf("accept first stream: %w", err)
 	}
-	m.serve(ctx, session, flow, "")
+	return m.serve(ctx, session, flow, "")
 }
 
 // dialLoop keeps a link to one peer.
 func (m *Mesh) dialLoop(ctx context.Context, peer Peer) error {
+	reported := false
 	for {
-		m.dialOnce(ctx, peer)
+		err := m.dialOnce(ctx, peer)
+		if err != nil && !reported && ctx.Err() == nil {
+			m.options.Handler.LinkRefused(peer.Address, fmt.Errorf("dial %s: %w", peer.Name, err))
+		}
+		reported = err != nil
 		select {
 		case <-time.After(redialInterval):
 		case <-ctx.Done():
@@ -105,23 +123,24 @@
 	}
 }
 
-// dialOnce dials the peer and serves the link until it fails.
-func (m *Mesh) dialOnce(ctx context.Context, peer Peer) {
+// dialOnce dials the peer and serves the link until it fails. The error says
+// why no link came about.
+func (m *Mesh) dialOnce(ctx context.Context, peer Peer) error {
 	conn, err := m.dial(ctx, peer)
 	if err != nil {
-		return
+		return err
 	}
 	defer conn.Close()
 	session, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
-		return
+		return err
 	}
 	defer session.Close()
 	flow, err := session.OpenStream()
 	if err != nil {
-		return
+		return err
 	}
-	m.serve(ctx, session, flow, peer.Name)
+	return m.serve(ctx, session, flow, peer.Name)
 }
 
 func (m *Mesh) dial(ctx context.Context, peer Peer) (net.Conn, error) {
@@ -133,16 +152,16 @@
 	return secure.DialContext(ctx, "tcp", peer.Address)
 }
 
-// serve registers the link and runs it. An empty name accepts any known peer.
-func (m *Mesh) serve(ctx context.Context, session *yamux.Session, flow net.Conn, name string) {
+// serve registers the link and runs it until it fails. An empty name accepts
+// any known peer. The error says why no link came about.
+func (m *Mesh) serve(ctx context.Context, session *yamux.Session, flow net.Conn, name string) error {
 	l, err := newLink(session, flow, m.options.Self)
 	if err != nil {
-		return
+		return err
 	}
 	peer := l.peer.GetInstance()
 	if err := m.checkPeer(peer, name); err != nil {
-		m.options.Handler.LinkDown(peer, err)
-		return
+		return fmt.Errorf("instance %q: %w", peer, err)
 	}
 	m.register(peer, l)
 	m.options.Handler.LinkUp(l.peer)
@@ -150,6 +169,7 @@
 	if m.unregister(peer, l) {
 		m.options.Handler.LinkDown(peer, err)
 	}
+	return nil
 }
 
 func (m *Mesh) checkPeer(got, want string) error {
--- a/wire/mesh_test.go
+++ b/wire/mesh_test.go
@@ -49,6 +49,8 @@
 
 func (r *recorder) LinkDown(string, error) {}
 
+func (r *recorder) LinkRefused(string, error) {}
+
 func (r *recorder) Heartbeat() *wire.Heartbeat { return &wire.Heartbeat{} }
 
 func (r *recorder) counts() (ups, seen int) {
