Add the queue policy, target health, slot loans and random schedules

Cause: the thin core served classes first in, first out, trusted every target and knew only its own slots.

Additions to events.go (nothing is renamed): - PeerSlots: Total, MaxCores, MaxMB, Targets, Ejected. SlotLoan: Cores, MB.

A slot now keeps the incarnation it was started on.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -20,6 +20,8 @@
 	j.timer.fire = func(c *Core) { c.deadlinePassed(j) }
 	c.timers.set(&j.timer, j.deadline)
 	c.jobs[spec.ID] = j
+	j.class.pending += j.waiting
+	j.tenant.queued += j.waiting
 	c.emit(JobAdmitted{JobID: spec.ID})
 }
 
@@ -45,27 +47,55 @@
 	if !c.leaseHeld {
 		return structs.ReasonNoLease, "the instance holds no lease"
 	}
-	if c.fleet.total == 0 && len(c.fleet.targets) == 0 {
-		return structs.ReasonNoCapacity, "no target is known"
+	if j.class.queued()+len(j.spec.Tasks) > j.class.maxQueue() {
+		return structs.ReasonQueueFull, "the queue of the class is full"
+	}
+	if c.capacity() == 0 {
+		return structs.ReasonNoCapacity, "no target is usable"
 	}
 	for i := range j.spec.Tasks {
-		if !c.fleet.canFit(j.spec.Class, &j.spec.Tasks[i]) {
+		if !c.canFit(j.spec.Class, &j.spec.Tasks[i]) {
 			return structs.ReasonNeverFits, "a task fits no target"
 		}
 	}
-	if j.class.waiting+len(j.spec.Tasks) > j.class.maxQueue() {
-		return structs.ReasonQueueFull, "the queue of the class is full"
+	if c.opts.Policy != PolicyHawthorn {
+		return "", ""
+	}
+	if total, reason := c.predict(j); c.now+total > j.deadline {
+		return reason, "the predicted wait and run time exceed the deadline"
 	}
 	return "", ""
 }
 
+// canFit reports whether any target of this instance or of a peer could ever
+// run the task.
+func (c *Core) canFit(class string, t *structs.Task) bool {
+	if c.fleet.canFit(class, t) {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.total > 0 && fits(p.maxCores, p.maxMB, t) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) releaseJob(id structs.JobID) {
 	j := c.jobs[id]
 	if j == nil || j.released || j.stopping {
 		return
 	}
 	j.released = true
-	c.enqueue(j)
+	j.class.pending -= j.waiting
+	if c.opts.Policy == PolicyHawthorn {
+		c.enqueue(j, false)
+		return
+	}
+	j.class.waiting += j.waiting
+	for i := range j.tasks {
+		c.bind(j, i)
+	}
 }
 
 func (c *Core) cancelJob(id structs.JobID) {
--- /dev/null
+++ b/dispatch/allocate.go
@@ -0,0 +1,69 @@
+package dispatch
+
+// nextClass returns the class that gets the next free slot, or nil. First pass:
+// classes below their baselines in rank order. Second pass: the others in rank
+// order, as long as slots remain beyond those kept for unused baselines.
+func (c *Core) nextClass() *class {
+	var beyond *class
+	for _, cl := range c.ranked {
+		if cl.stuck || !cl.hasWork() {
+			continue
+		}
+		if cl.usage < cl.baseline.slots {
+			return cl
+		}
+		if beyond == nil && c.fleet.free > c.reserve(cl) {
+			beyond = cl
+		}
+	}
+	return beyond
+}
+
+// hasWork reports whether the class can use a free slot now.
+func (cl *class) hasWork() bool { return len(cl.active) > 0 || len(cl.asks) > 0 }
+
+// reserve returns the free slots that a class beyond its baseline must leave to
+// the unused baselines of the other classes.
+func (c *Core) reserve(beyond *class) int {
+	reserved := 0
+	for _, cl := range c.ranked {
+		if cl != beyond {
+			reserved += max(0, cl.baseline.slots-cl.usage)
+		}
+	}
+	return reserved
+}
+
+// entitlement returns the slots that the two passes give to a class out of
+// capacity when it demands the given number and the others what they have.
+func (c *Core) entitlement(of *class, demand, capacity float64) float64 {
+	left := capacity
+	granted := 0.0
+	for _, cl := range c.ranked {
+		d := cl.demand(of, demand)
+		g := min(d, float64(cl.baseline.slots), left)
+		left -= g
+		if cl == of {
+			granted = g
+		}
+	}
+	for _, cl := range c.ranked {
+		d := cl.demand(of, demand)
+		if d <= float64(cl.baseline.slots) {
+			continue
+		}
+		g := min(d-float64(cl.baseline.slots), left)
+		left -= g
+		if cl == of {
+			granted += g
+		}
+	}
+	return granted
+}
+
+func (cl *class) demand(of *class, demand float64) float64 {
+	if cl == of {
+		return demand
+	}
+	return float64(cl.running + cl.queued())
+}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -92,8 +92,10 @@
 	}
 	c.releaseSlot(j, t, ending{refused: e.Cause})
 	j.maybe--
+	j.tenant.queued++
 	if j.stopping {
 		t.state = taskDropped
+		j.tenant.queued--
 		j.dropped++
 		c.settle(j)
 		return
@@ -118,7 +120,7 @@
 	}
 	c.slotSilent(t)
 	giveUp := c.base.Add(max(j.deadline, c.now+resolveGrace))
-	c.emit(ResolveAttempt{Attempt: id, Target: t.slot.ref(), GiveUp: giveUp})
+	c.emit(ResolveAttempt{Attempt: id, Target: *t.slot.ref, GiveUp: giveUp})
 }
 
 func (c *Core) attemptUnresolved(id structs.AttemptID) {
--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -1,9 +1,8 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
-	"slices"
+	"time"
 
 	"hawthornshore.example/structs"
 )
@@ -12,16 +11,27 @@
 type class struct {
 	spec    structs.Class
 	removed bool // no longer configured; kept for the jobs it still has
-	queue   []*job
-	waiting int // waiting tasks of released jobs
-	running int // live attempts
+
+	queues  map[*tenant]*tenantQueue
+	active  activeHeap    // tenant queues that may start a task
+	vclock  float64       // virtual time of the queue that was served last
+	current *job          // partly placed job whose other tasks go next
+	parked  []*job        // jobs that wait for the retry budget
+	asks    []*loanAsk    // requests of peers, oldest first
+	waiting int           // waiting tasks of released jobs, parked ones excluded
+	pending int           // tasks of admitted jobs that are not released
+	running int           // live attempts of jobs of this instance
+	usage   int           // slots of managed targets in use by the class, lent ones included
+	stuck   bool          // no free slot fits the class in the current step
+	blind   time.Duration // time of the last request to a peer without free slots
+
+	baseline baseline
+	runtimes *runtimes
+	budget   retryBudget
 }
 
-// tenant is the account of one tenant.
-type tenant struct {
-	spec    structs.Tenant
-	removed bool
-	running int // live attempts
+func newClass() *class {
+	return &class{queues: make(map[*tenant]*tenantQueue), runtimes: newRuntimes()}
 }
 
 func (cl *class) maxQueue() int {
@@ -31,39 +41,31 @@
 	return cl.spec.MaxQueue
 }
 
-// configChanged applies a newer configuration; older ones are ignored.
-func (c *Core) configChanged(config structs.SystemConfig) {
-	if config.Version < c.config.Version {
-		return
-	}
-	c.config = config
-	for name, spec := range config.Classes {
-		if c.classes[name] == nil {
-			c.classes[name] = &class{}
-		}
-		spec.Name = name
-		c.classes[name].spec, c.classes[name].removed = spec, false
-	}
-	for name, spec := range config.Tenants {
-		if c.tenants[name] == nil {
-			c.tenants[name] = &tenant{}
-		}
-		spec.Name = name
-		c.tenants[name].spec, c.tenants[name].removed = spec, false
+// queued returns the tasks of the class that have no attempt.
+func (cl *class) queued() int { return cl.waiting + cl.pending }
+
+// queue returns the tenant's queue within the class.
+func (cl *class) queue(t *tenant) *tenantQueue {
+	q := cl.queues[t]
+	if q == nil {
+		q = &tenantQueue{class: cl, tenant: t}
+		cl.queues[t] = q
+		t.queues = append(t.queues, q)
 	}
-	c.ranked = c.ranked[:0]
-	for name, cl := range c.classes {
-		if _, ok := config.Classes[name]; !ok {
-			cl.removed = true
+	return q
+}
+
+// nextJob returns the job whose task the class would start next, or nil. A
+// partly placed job goes first, so that its tasks run together.
+func (cl *class) nextJob() *job {
+	if j := cl.current; j != nil {
+		if j.queue != nil && j.queue.index > 0 {
+			return j
 		}
-		c.ranked = append(c.ranked, cl)
+		cl.current = nil
 	}
-	for name, t := range c.tenants {
-		if _, ok := config.Tenants[name]; !ok {
-			t.removed = true
-		}
+	if len(cl.active) == 0 {
+		return nil
 	}
-	slices.SortFunc(c.ranked, func(a, b *class) int {
-		return cmp.Or(cmp.Compare(a.spec.Rank, b.spec.Rank), cmp.Compare(a.spec.Name, b.spec.Name))
-	})
+	return cl.active[0].head
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -14,14 +14,16 @@
 // Core holds the jobs this instance owns and the targets it manages. It is not
 // safe for concurrent use.
 type Core struct {
-	opts    Options
-	rng     *rand.Rand
-	base    time.Time     // time of the first step
-	now     time.Duration // time of the current step since base
-	timers  timerHeap
-	house   timer
-	effects []Effect
-	spare   []Effect // the buffer handed out by the last Ready
+	opts   Options
+	rng    *rand.Rand
+	base   time.Time     // time of the first step
+	now    time.Duration // time of the current step since base
+	timers timerHeap
+	house  timer
+	// housekept is the time of the last housekeeping.
+	housekept time.Duration
+	effects   []Effect
+	spare     []Effect // the buffer handed out by the last Ready
 
 	config  structs.SystemConfig
 	classes map[string]*class
@@ -29,9 +31,16 @@
 	tenants map[string]*tenant
 	jobs    map[structs.JobID]*job
 	fleet   fleet
+	peers   []*peer
+	asks    int // requests of peers that wait for an answer
+
+	// Early-binding policies only.
+	unbound []attemptRef // waiting tasks without a target
+	touched []*target    // targets that may be able to start a bound task
 
 	leaseHeld bool
 	draining  bool
+	saturated bool // work waits for slots since the last step
 }
 
 // New returns a core without targets, jobs, configuration or lease.
@@ -99,6 +108,16 @@
 		c.attemptSilent(e.Attempt)
 	case AttemptUnresolved:
 		c.attemptUnresolved(e.Attempt)
+	case PeerSlots:
+		c.peerSlots(&e)
+	case PeerLost:
+		c.peerLost(e.Peer)
+	case SlotsRequested:
+		c.slotsRequested(&e)
+	case SlotsGranted:
+		c.slotsGranted(&e)
+	case SlotReturned:
+		c.slotReturned(&e)
 	}
 }
 
@@ -125,6 +144,19 @@
 // since converts a time of day to the core's time line.
 func (c *Core) since(t time.Time) time.Duration { return t.Sub(c.base) }
 
+// housekeep refreshes what is learned and what waits for time to pass.
 func (c *Core) housekeep() {
+	interval := c.now - c.housekept
+	c.housekept = c.now
 	c.timers.set(&c.house, c.now+housekeepingInterval)
+	for _, cl := range c.ranked {
+		if !c.saturated {
+			cl.baseline.learn(cl.usage, interval)
+		}
+		cl.baseline.refresh(cl.spec.SharePercent, c.fleet.total)
+		cl.runtimes.refresh(c.now)
+		c.unpark(cl)
+	}
+	c.offerProbes()
+	c.bindUnbound()
 }
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -91,24 +91,37 @@
 type AttemptUnresolved struct{ Attempt structs.AttemptID }
 
 // PeerSlots brings the number of free slots that a peer offers to lend.
+// Total, MaxCores and MaxMB are the peer's usable slots and its largest slot;
+// 0 means that it does not say, or that the size is unlimited. Targets and
+// Ejected count the targets it manages and those of them that are ejected.
 type PeerSlots struct {
-	Peer string
-	Free int
+	Peer     string
+	Free     int
+	Total    int
+	MaxCores float64
+	MaxMB    int64
+	Targets  int
+	Ejected  int
 }
 
 // PeerLost says that a peer is not reachable; its loans end.
 type PeerLost struct{ Peer string }
 
 // SlotsRequested says that a peer asks to borrow slots for tasks of one class.
+// The slots must have at least MinCores and MinMB.
 type SlotsRequested struct {
-	Peer  string
-	Class string
-	Count int
+	Peer     string
+	Class    string
+	Count    int
+	MinCores float64
+	MinMB    int64
 }
 
 // SlotsGranted brings slots that a peer lent. An empty list means none.
+// It answers the open request of the class to the peer.
 type SlotsGranted struct {
 	Peer  string
+	Class string
 	Slots []SlotLoan
 }
 
@@ -116,6 +129,8 @@
 type SlotLoan struct {
 	Target  structs.TargetRef
 	Expires time.Time // a start must begin before this time
+	Cores   float64   // size of the slot; 0 is unlimited
+	MB      int64
 }
 
 // SlotReturned says that a borrowed slot of a target this instance manages is
@@ -189,14 +204,17 @@
 
 // RequestSlots asks a peer for a loan.
 type RequestSlots struct {
-	Peer  string
-	Class string
-	Count int
+	Peer     string
+	Class    string
+	Count    int
+	MinCores float64 // least size of the slots
+	MinMB    int64
 }
 
 // GrantSlots answers a peer's request; an empty list means none.
 type GrantSlots struct {
 	Peer  string
+	Class string
 	Slots []SlotLoan
 }
 
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -11,8 +11,12 @@
 	targets map[string]*target
 	pools   []*pool
 	byKey   map[poolKey]*pool
+	members []*target // usable targets
+	ejected []*target
 	total   int // slots of usable targets
-	free    int // free slots of usable targets
+	free    int // free slots that may be used, probes included
+	// failures is the smoothed failure rate of all runs, 0 to 1.
+	failures float64
 }
 
 func (f *fleet) init() {
@@ -33,15 +37,47 @@
 
 // refresh files the target again after a change of its state or load.
 func (f *fleet) refresh(t *target) {
-	total, free := 0, 0
-	if t.usable() {
+	total, free, tier := 0, 0, tierNormal
+	switch {
+	case t.usable():
 		total = t.ann.Slots
-		free = max(0, total-t.used-t.lent)
+		free = max(0, total-t.used-len(t.loans)-t.foreign)
+		if t.slow {
+			tier = tierSlow
+		}
+	case t.present() && t.due && !t.probing && t.used+len(t.loans) < t.ann.Slots:
+		free, tier = 1, tierProbe
 	}
+	f.enlist(t, total > 0)
 	f.total += total - t.counted
 	f.free += free - t.free
 	t.counted, t.free = total, free
-	t.pool.file(t, tierNormal, free)
+	t.pool.file(t, tier, free)
+}
+
+// enlist keeps the list of usable targets.
+func (f *fleet) enlist(t *target, usable bool) {
+	if usable == (t.member > 0) {
+		return
+	}
+	if usable {
+		f.members = append(f.members, t)
+		t.member = len(f.members)
+		return
+	}
+	last := f.members[len(f.members)-1]
+	f.members[t.member-1] = last
+	last.member = t.member
+	f.members = f.members[:len(f.members)-1]
+	t.member = 0
+}
+
+// refresh files a target again and lets early-binding policies look at it.
+func (c *Core) refresh(t *target) {
+	c.fleet.refresh(t)
+	if c.opts.Policy != PolicyHawthorn {
+		c.touch(t)
+	}
 }
 
 // pick returns a target with a free slot for the task, or nil.
@@ -72,7 +108,7 @@
 func (c *Core) targetSeen(a *structs.Announcement) {
 	t := c.fleet.targets[a.TargetID]
 	if t == nil {
-		t = &target{}
+		t = &target{ref: &structs.TargetRef{}, foreign: a.Running}
 		t.expiry.fire = func(c *Core) { c.targetGone(t) }
 		c.fleet.targets[a.TargetID] = t
 	}
@@ -84,10 +120,13 @@
 	}
 	c.moveToPool(t, c.fleet.poolFor(a))
 	t.ann = *a
-	t.ref = structs.TargetRef{TargetID: a.TargetID, Incarnation: a.Incarnation, Address: a.Address}
-	t.expired, t.suspect, t.seenAt = false, false, c.now
+	if ref := (structs.TargetRef{TargetID: a.TargetID, Incarnation: a.Incarnation, Address: a.Address}); ref != *t.ref {
+		t.ref = &ref
+	}
+	t.expired, t.suspect = false, false
+	c.reconcile(t, a.Running)
 	c.timers.set(&t.expiry, c.now+structs.TargetTimeout)
-	c.fleet.refresh(t)
+	c.refresh(t)
 }
 
 // moveToPool makes the target a managed member of the pool.
@@ -110,7 +149,10 @@
 func (c *Core) newIncarnation(t *target) {
 	t.previous = t.ref.Incarnation
 	t.epoch++
-	t.used, t.lent = 0, 0
+	c.endLoans(t, func(*lentSlot) bool { return true })
+	t.used, t.foreign = 0, 0
+	c.unlistEjected(t)
+	t.health = health{}
 	attempts := t.attempts
 	t.attempts = nil
 	for _, a := range attempts {
@@ -138,13 +180,15 @@
 		t.managed = false
 		t.pool.members--
 	}
-	c.fleet.refresh(t)
+	c.refresh(t)
 	c.dropTarget(t)
 }
 
 // dropTarget forgets an unmanaged target once no attempt runs on it.
 func (c *Core) dropTarget(t *target) {
 	if !t.managed && len(t.attempts) == 0 && c.fleet.targets[t.ref.TargetID] == t {
+		c.endLoans(t, func(*lentSlot) bool { return true })
+		c.unlistEjected(t)
 		delete(c.fleet.targets, t.ref.TargetID)
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -30,7 +30,7 @@
 	accepted bool // the current attempt is known to have started
 	number   int  // attempt number, from 1
 	slot     slot
-	sentAt   time.Duration
+	charged  float64 // milliseconds charged to the tenant for the attempt
 	output   json.RawMessage
 	runMS    int64
 }
@@ -55,9 +55,14 @@
 	released bool
 	stopping bool // no further starts
 	answered bool
-	queued   bool // in its tenant's queue
+	parked   bool // waits for the retry budget
 	reason   structs.Reason
 	message  string
+
+	queue      *tenantQueue // that holds the job; nil if none
+	prev       *job         // neighbours in the queue
+	following  *job
+	enqueuedAt time.Duration
 }
 
 // nextWaiting returns the index of the first waiting task. The job must have one.
@@ -78,6 +83,13 @@
 	if j.waiting == 0 {
 		return
 	}
+	j.tenant.queued -= j.waiting
+	switch {
+	case !j.released:
+		j.class.pending -= j.waiting
+	case c.opts.Policy != PolicyHawthorn:
+		j.class.waiting -= j.waiting
+	}
 	for i := range j.tasks {
 		if j.tasks[i].state == taskWaiting {
 			j.tasks[i].state = taskDropped
@@ -98,7 +110,7 @@
 	c.dropWaiting(j)
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.live {
-			c.emit(CancelAttempt{Attempt: j.attemptID(i), Target: t.slot.ref()})
+			c.emit(CancelAttempt{Attempt: j.attemptID(i), Target: *t.slot.ref})
 		}
 	}
 }
@@ -130,7 +142,7 @@
 		a.Results = make([]structs.TaskResult, len(j.tasks))
 		for i := range j.tasks {
 			t := &j.tasks[i]
-			a.Results[i] = structs.TaskResult{Task: i, Target: t.slot.targetID, Output: t.output, RunMS: t.runMS}
+			a.Results[i] = structs.TaskResult{Task: i, Target: t.slot.ref.TargetID, Output: t.output, RunMS: t.runMS}
 		}
 	}
 	j.answered = true
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -13,7 +13,8 @@
 
 // tiers of targets within a pool, preferred first.
 const (
-	tierNormal = iota
+	tierProbe = iota // ejected targets that are due for one task
+	tierNormal
 	tierSlow
 	tierCount
 )
--- /dev/null
+++ b/dispatch/predict.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"hawthornshore.example/structs"
+)
+
+// capacity returns the slots that the jobs of this instance can expect: its
+// part of the data centre's, or its own if it knows no peers' totals.
+func (c *Core) capacity() float64 {
+	own := float64(c.fleet.total)
+	sum, free := own, own
+	for _, p := range c.peers {
+		sum += float64(p.total)
+		free += float64(p.free)
+	}
+	return max(own, sum/float64(len(c.peers)+1), free)
+}
+
+// predict returns the time from now until the last task of the job would end,
+// and the reason to give if that is too late.
+func (c *Core) predict(j *job) (time.Duration, structs.Reason) {
+	n := float64(len(j.spec.Tasks))
+	run := j.class.runtimes.longestMS(j.spec.Tasks)
+	mean := j.class.runtimes.taskMS(j.spec.Tasks[0].DeclaredMS)
+	wait := c.waitSlots(j, n) * mean
+	reason := structs.ReasonWaitTooLong
+	if t := j.tenant; t.quota > 0 {
+		byQuota := excess(float64(t.running+t.queued)+n, float64(t.quota)) * mean
+		if byQuota > wait {
+			wait, reason = byQuota, structs.ReasonQuota
+		}
+	}
+	total := wait + run
+	if total > math.MaxInt64/float64(2*time.Millisecond) {
+		return math.MaxInt64 / 2, reason
+	}
+	return time.Duration(total * float64(time.Millisecond)), reason
+}
+
+// waitSlots returns the wait of the job's last task in mean run times. A tenant
+// waits no longer than its class, and no longer than its weight demands.
+func (c *Core) waitSlots(j *job, n float64) float64 {
+	cl := j.class
+	demand := float64(cl.running+cl.queued()) + n
+	slots := c.entitlement(cl, demand, c.capacity())
+	wait := excess(demand, slots)
+	if wait == 0 {
+		return 0
+	}
+	weights := 0.0
+	for _, q := range cl.active {
+		weights += q.tenant.weight()
+	}
+	q := cl.queue(j.tenant)
+	if q.index == 0 {
+		weights += j.tenant.weight()
+	}
+	own := float64(q.running+q.waiting) + n
+	return min(wait, excess(own, slots*j.tenant.weight()/weights))
+}
+
+// excess returns how many rounds of the slots the demand beyond them takes.
+func excess(demand, slots float64) float64 {
+	if demand <= slots {
+		return 0
+	}
+	if slots <= 0 {
+		return math.Inf(1)
+	}
+	return (demand - slots) / slots
+}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -1,81 +1,189 @@
 package dispatch
 
 // enqueue makes the waiting tasks of a released job available for starts.
-func (c *Core) enqueue(j *job) {
-	j.queued = true
+func (c *Core) enqueue(j *job, front bool) {
+	q := j.class.queue(j.tenant)
+	j.queue = q
+	if front {
+		q.pushFront(j)
+	} else {
+		q.pushBack(j)
+	}
+	j.enqueuedAt = c.now
+	q.waiting += j.waiting
 	j.class.waiting += j.waiting
-	j.class.queue = append(j.class.queue, j)
+	q.refresh()
 }
 
-// dequeue takes a job out of its class's queue.
+// dequeue takes a job out of its tenant's queue.
 func (c *Core) dequeue(j *job) {
-	if !j.queued {
+	q := j.queue
+	if q == nil {
 		return
 	}
-	j.queued = false
+	j.queue = nil
+	q.remove(j)
+	q.waiting -= j.waiting
 	j.class.waiting -= j.waiting
+	if j.class.current == j {
+		j.class.current = nil
+	}
+	q.refresh()
 }
 
 // retry offers a task again whose last attempt is proven not to have started.
 func (c *Core) retry(j *job, i int) {
 	j.next = min(j.next, i)
-	if j.queued {
+	if c.opts.Policy != PolicyHawthorn {
+		j.class.waiting++
+		c.bind(j, i)
+		return
+	}
+	if j.queue != nil {
+		j.queue.waiting++
 		j.class.waiting++
 		return
 	}
-	c.enqueue(j)
+	if !j.parked {
+		c.enqueue(j, true)
+	}
 }
 
-// startTasks starts waiting tasks while there are free slots.
+// park takes a job out of the queue until the retry budget allows its next start.
+func (c *Core) park(j *job) {
+	c.dequeue(j)
+	j.parked = true
+	j.class.parked = append(j.class.parked, j)
+}
+
+// unpark offers parked jobs again as far as the budget goes.
+func (c *Core) unpark(cl *class) {
+	if len(cl.parked) == 0 || !cl.budget.allows(c.now) {
+		return
+	}
+	for _, j := range cl.parked {
+		j.parked = false
+		if j.waiting > 0 && !j.stopping {
+			c.enqueue(j, true)
+		}
+	}
+	clear(cl.parked)
+	cl.parked = cl.parked[:0]
+}
+
+// startTasks starts waiting tasks, and serves peers, while there are free slots.
 func (c *Core) startTasks() {
-	if !c.leaseHeld {
+	if c.opts.Policy != PolicyHawthorn {
+		c.startBound()
 		return
 	}
+	for c.fleet.free > 0 {
+		cl := c.nextClass()
+		if cl == nil {
+			break
+		}
+		c.serve(cl)
+	}
+	c.saturated = false
 	for _, cl := range c.ranked {
-		for len(cl.queue) > 0 && c.fleet.free > 0 {
-			j := cl.queue[0]
-			if !j.queued || !c.startNext(j) {
-				if j.queued {
-					break
-				}
-				cl.queue = cl.queue[1:]
-			}
+		cl.stuck = false
+		c.saturated = c.saturated || len(cl.active) > 0
+	}
+	c.flushGrants()
+	if c.saturated {
+		c.borrow()
+	}
+}
+
+// serve gives the next free slot to the oldest work of a class: a job of this
+// instance or a request of a peer.
+func (c *Core) serve(cl *class) {
+	var j *job
+	if c.leaseHeld {
+		j = cl.nextJob()
+	}
+	if len(cl.asks) > 0 && (j == nil || cl.asks[0].at < j.enqueuedAt) {
+		if !c.lend(cl, cl.asks[0]) {
+			cl.stuck = true
 		}
+		return
+	}
+	if j == nil || !c.startNext(j) {
+		cl.stuck = true
 	}
 }
 
-// startNext starts the first waiting task of a job. It reports false if no
-// target has a slot for it.
+// startNext starts the first waiting task of a queued job on a managed target.
+// It reports false if no target has a slot for it.
 func (c *Core) startNext(j *job) bool {
 	i := j.nextWaiting()
+	if !c.mayStart(j, i) {
+		return true
+	}
 	tg := c.fleet.pick(j.class.spec.Name, &j.spec.Tasks[i], c.rng)
 	if tg == nil {
 		return false
 	}
+	j.class.usage++
 	c.start(j, i, c.takeSlot(tg, j, i))
 	return true
 }
 
+// mayStart parks or ends a job whose next start is pointless or not allowed.
+func (c *Core) mayStart(j *job, i int) bool {
+	if j.tasks[i].number > 0 && !j.class.budget.allows(c.now) {
+		c.park(j)
+		return false
+	}
+	return true
+}
+
 // start sends the next attempt of a waiting task to a slot.
 func (c *Core) start(j *job, i int, s slot) {
 	t := &j.tasks[i]
+	if t.number > 0 {
+		j.class.budget.retry(c.now)
+	}
 	t.state, t.live, t.accepted = taskSent, true, false
 	t.number++
-	t.slot, t.sentAt = s, c.now
+	t.slot = s
 	j.waiting--
-	j.class.waiting--
 	j.maybe++
 	j.live++
-	j.class.running++
-	j.tenant.running++
-	if j.waiting == 0 {
-		c.dequeue(j)
-	}
+	c.account(j, i)
 	c.emit(StartAttempt{
 		Attempt:  j.attemptID(i),
-		Target:   s.ref(),
+		Target:   *s.ref,
 		Task:     j.spec.Tasks[i],
 		Class:    j.class.spec.Name,
 		Deadline: j.spec.Deadline(),
 	})
 }
+
+// account books a start with the job's class, tenant and queue.
+func (c *Core) account(j *job, i int) {
+	cl, t := j.class, j.tenant
+	cl.budget.start(c.now)
+	cl.waiting--
+	cl.running++
+	t.queued--
+	t.running++
+	q := cl.queue(t)
+	q.running++
+	if j.queue != nil {
+		q.waiting--
+		cl.vclock = max(cl.vclock, q.vtime)
+	}
+	j.tasks[i].charged = cl.runtimes.taskMS(j.spec.Tasks[i].DeclaredMS)
+	q.charge(j.tasks[i].charged)
+	if j.waiting == 0 {
+		c.dequeue(j)
+	} else if j.queue != nil {
+		cl.current = j
+	}
+	if t.atQuota() {
+		for _, other := range t.queues {
+			other.refresh()
+		}
+	}
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"hawthornshore.example/structs"
-)
+import "hawthornshore.example/structs"
 
 // attemptRef names the current attempt of a task.
 type attemptRef struct {
@@ -15,18 +11,20 @@
 // target is one target that this instance manages, or managed while attempts of
 // this instance still run on it.
 type target struct {
-	ref      structs.TargetRef
-	previous string // the incarnation before this one
+	ref      *structs.TargetRef // replaced, never changed, with a new incarnation
+	previous string             // the incarnation before this one
 	ann      structs.Announcement
 	epoch    int // counts incarnations
 	managed  bool
 	expired  bool
 	suspect  bool  // silent or unreachable since the last announcement
 	expiry   timer // fires when announcements are missing
-	seenAt   time.Duration
-	used     int // slots held by attempts of this instance
-	lent     int // slots lent to peers
+	used     int   // slots held by attempts of this instance
+	foreign  int   // slots in use by attempts that an earlier manager started
+	loans    []lentSlot
+	doubts   int // announcements in a row that contradict the loans
 	attempts []attemptRef
+	health
 
 	pool    *pool
 	counted int // slots included in the fleet's total
@@ -34,10 +32,20 @@
 	tier    int // tier of the bucket that holds the target
 	bucket  int // free slots as filed; 0 when not filed
 	pos     int // position within the bucket
+	member  int // position in fleet.members plus one; 0 when not there
+
+	// Early-binding policies only.
+	bound   []attemptRef // tasks that wait for a slot of this target
+	touched bool
 }
 
 // usable reports whether the target may get new work.
 func (t *target) usable() bool {
+	return t.present() && !t.ejected
+}
+
+// present reports whether the target announces itself as ready and answers.
+func (t *target) present() bool {
 	return t.managed && !t.expired && !t.suspect && t.ann.State == structs.TargetReady
 }
 
@@ -46,13 +54,3 @@
 func fits(cores float64, mb int64, task *structs.Task) bool {
 	return (cores == 0 || task.DeclaredCores <= cores) && (mb == 0 || task.DeclaredMB <= mb)
 }
-
-// slot is the place where an attempt runs.
-type slot struct {
-	target   *target
-	epoch    int
-	index    int // position in target.attempts
-	targetID string
-}
-
-func (s *slot) ref() structs.TargetRef { return s.target.ref }
--- /dev/null
+++ b/dispatch/tenantqueue.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"container/heap"
+
+	"hawthornshore.example/structs"
+)
+
+// tenant is the account of one tenant over all classes.
+type tenant struct {
+	spec    structs.Tenant
+	removed bool
+	quota   int // slots that jobs of this instance may use at once; 0 is unbounded
+	running int // live attempts
+	queued  int // tasks without an attempt
+	queues  []*tenantQueue
+}
+
+func (t *tenant) weight() float64 {
+	if t.spec.Weight <= 0 {
+		return 1
+	}
+	return t.spec.Weight
+}
+
+func (t *tenant) atQuota() bool { return t.quota > 0 && t.running >= t.quota }
+
+// tenantQueue holds the released jobs of one tenant in one class that have
+// waiting tasks, first in, first out.
+type tenantQueue struct {
+	class   *class
+	tenant  *tenant
+	head    *job
+	tail    *job
+	waiting int
+	running int     // live attempts
+	vtime   float64 // milliseconds of slot time received, divided by the weight
+	index   int     // position in class.active plus one; 0 when not there
+}
+
+func (q *tenantQueue) pushBack(j *job) {
+	j.prev, j.following = q.tail, nil
+	if q.tail != nil {
+		q.tail.following = j
+	} else {
+		q.head = j
+	}
+	q.tail = j
+}
+
+func (q *tenantQueue) pushFront(j *job) {
+	j.prev, j.following = nil, q.head
+	if q.head != nil {
+		q.head.prev = j
+	} else {
+		q.tail = j
+	}
+	q.head = j
+}
+
+func (q *tenantQueue) remove(j *job) {
+	if j.prev != nil {
+		j.prev.following = j.following
+	} else {
+		q.head = j.following
+	}
+	if j.following != nil {
+		j.following.prev = j.prev
+	} else {
+		q.tail = j.prev
+	}
+	j.prev, j.following = nil, nil
+}
+
+// refresh puts the queue into the class's heap exactly if it may start a task.
+// A queue that comes back does not claim the time during which it was idle.
+func (q *tenantQueue) refresh() {
+	ready := q.head != nil && !q.tenant.atQuota()
+	switch {
+	case ready && q.index == 0:
+		q.vtime = max(q.vtime, q.class.vclock)
+		heap.Push(&q.class.active, q)
+	case !ready && q.index > 0:
+		heap.Remove(&q.class.active, q.index-1)
+	}
+}
+
+// charge adds slot time to the queue's account.
+func (q *tenantQueue) charge(ms float64) {
+	q.vtime += ms / q.tenant.weight()
+	if q.index > 0 {
+		heap.Fix(&q.class.active, q.index-1)
+	}
+}
+
+// activeHeap orders tenant queues by virtual time.
+type activeHeap []*tenantQueue
+
+func (h activeHeap) Len() int           { return len(h) }
+func (h activeHeap) Less(i, j int) bool { return h[i].vtime < h[j].vtime }
+
+func (h activeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i + 1
+	h[j].index = j + 1
+}
+
+// Push implements heap.Interface.
+func (h *activeHeap) Push(x any) {
+	q := x.(*tenantQueue)
+	*h = append(*h, q)
+	q.index = len(*h)
+}
+
+// Pop implements heap.Interface.
+func (h *activeHeap) Pop() any {
+	old := *h
+	q := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	q.index = 0
+	return q
+}
