Add policy experiments in virtual time and hawthorn-load

The experiment drives real dispatch cores: one data centre with 2 instances and 12 (resin) or 13 (lanyards) targets of 8 slots, constant latencies, open-loop arrivals from a seed, and a fault timetable.

Ruled out: a simulator of processes, links and disks. Only the policy is in question here, and integration tests cover the rest with real processes.

--- /dev/null
+++ b/experiment/result.go
@@ -0,0 +1,141 @@
+package experiment
+
+import (
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"hawthornshore.example/structs"
+)
+
+const (
+	// ratioUnit is the resolution of the recorded ratios of response time to
+	// ideal.
+	ratioUnit = 1000
+	maxRatio  = 1000 * ratioUnit
+	digits    = 3
+	// maxLatency bounds recorded latencies, in microseconds.
+	maxLatency = int64(10 * time.Minute / time.Microsecond)
+)
+
+// ClassResult holds the measures of one class, over the jobs that were sent in
+// the measured window.
+type ClassResult struct {
+	Class    string                  `json:"class"`
+	Rank     int                     `json:"rank"`
+	Sent     int                     `json:"sent"`
+	Outcomes map[structs.Outcome]int `json:"outcomes"`
+	Reasons  map[structs.Reason]int  `json:"reasons"`
+	Flooded  bool                    `json:"flooded"` // the flood's jobs are included
+	Ratio    *hdr.Histogram          `json:"-"`       // response time over ideal, in thousandths; complete jobs
+	Response *hdr.Histogram          `json:"-"`       // response time in microseconds; complete jobs
+	Refusal  *hdr.Histogram          `json:"-"`       // time to a not-run answer in microseconds
+	Late     int                     `json:"late"`    // not complete, and answered later than the refusal limit
+	Seconds  float64                 `json:"seconds"` // length of the window
+}
+
+// Result is what a run measured.
+type Result struct {
+	Scenario   string         `json:"scenario"`
+	Workload   string         `json:"workload"`
+	Policy     string         `json:"policy"`
+	Seed       uint64         `json:"seed"`
+	Load       float64        `json:"load"`
+	Classes    []*ClassResult `json:"classes"` // by rank
+	All        *ClassResult   `json:"all"`
+	Messages   Messages       `json:"messages"` // over the whole run
+	Ejections  int            `json:"ejections"`
+	Violations []string       `json:"violations"` // of the guarantees; must be empty
+}
+
+func newClassResult(class structs.Class, seconds float64) *ClassResult {
+	return &ClassResult{
+		Class: class.Name, Rank: class.Rank, Seconds: seconds,
+		Outcomes: make(map[structs.Outcome]int), Reasons: make(map[structs.Reason]int),
+		Ratio: hdr.New(1, maxRatio, digits), Response: hdr.New(1, maxLatency, digits), Refusal: hdr.New(1, maxLatency, digits),
+	}
+}
+
+func newResult(s *Scenario) *Result {
+	seconds := s.Measure.Seconds()
+	res := &Result{
+		Scenario: s.Name, Workload: s.Workload.Name, Policy: string(s.Policy), Seed: s.Seed, Load: s.Load,
+		All: newClassResult(structs.Class{Name: "all"}, seconds),
+	}
+	for i := range s.Workload.Classes {
+		c := newClassResult(s.Workload.Classes[i].Class, seconds)
+		for _, f := range s.Faults {
+			c.Flooded = c.Flooded || f.Kind == FaultFlood && f.Class == i
+		}
+		res.Classes = append(res.Classes, c)
+	}
+	return res
+}
+
+// record books the answer of a job, which reached the caller after the given
+// time.
+func (res *Result) record(t *tracked, a *structs.Answer, took time.Duration) {
+	if !t.measured {
+		return
+	}
+	res.Classes[t.class].record(t, a, took)
+	res.All.record(t, a, took)
+}
+
+func (c *ClassResult) record(t *tracked, a *structs.Answer, took time.Duration) {
+	c.Sent++
+	c.Outcomes[a.Outcome]++
+	if a.Reason != "" {
+		c.Reasons[a.Reason]++
+	}
+	us := min(took.Microseconds(), maxLatency)
+	switch {
+	case a.Outcome == structs.OutcomeComplete:
+		ratio := int64(float64(took) / float64(t.longest) * ratioUnit)
+		_ = c.Ratio.RecordValue(min(ratio, maxRatio)) // bounded by the histogram's range
+		_ = c.Response.RecordValue(us)
+		return
+	case a.Outcome == structs.OutcomeNotRun:
+		_ = c.Refusal.RecordValue(us)
+	}
+	if took > refusalLimit {
+		c.Late++
+	}
+}
+
+// finish books jobs without an answer.
+func (res *Result) finish(r *run) {
+	for id, t := range r.arrivals {
+		if !t.answered {
+			res.Violations = append(res.Violations, "no answer for "+id.String())
+		}
+	}
+}
+
+// RatioAt returns a quantile, in percent, of response time over ideal.
+func (c *ClassResult) RatioAt(q float64) float64 {
+	return float64(c.Ratio.ValueAtQuantile(q)) / ratioUnit
+}
+
+// ResponseAt returns a quantile, in percent, of the response time.
+func (c *ClassResult) ResponseAt(q float64) time.Duration {
+	return time.Duration(c.Response.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// RefusalAt returns a quantile, in percent, of the time to a not-run answer.
+func (c *ClassResult) RefusalAt(q float64) time.Duration {
+	return time.Duration(c.Refusal.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Completed returns the part of the sent jobs that completed.
+func (c *ClassResult) Completed() float64 {
+	if c.Sent == 0 {
+		return 0
+	}
+	return float64(c.Outcomes[structs.OutcomeComplete]) / float64(c.Sent)
+}
+
+// Throughput returns the completed jobs per second.
+func (c *ClassResult) Throughput() float64 {
+	return float64(c.Outcomes[structs.OutcomeComplete]) / c.Seconds
+}
--- /dev/null
+++ b/experiment/workload.go
@@ -0,0 +1,181 @@
+package experiment
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"hawthornshore.example/structs"
+)
+
+// ClassLoad describes the jobs of one class.
+type ClassLoad struct {
+	Class structs.Class
+	// Part is the class's part of the offered slot time, 0 to 1.
+	Part float64
+	// MinRun and MaxRun bound the run times, which are spread evenly over their
+	// logarithms.
+	MinRun, MaxRun time.Duration
+	// LongPart is the part of jobs whose tasks run LongRun instead.
+	LongPart float64
+	LongRun  time.Duration
+	// MeanTasks is the mean number of tasks of the parallel jobs, which are
+	// ParallelPart of all; the others have one task.
+	MeanTasks    float64
+	ParallelPart float64
+	// Patience is the time from sending to the deadline, beyond the run time.
+	Patience time.Duration
+}
+
+// Workload describes what one data centre of a user gets.
+type Workload struct {
+	Name          string
+	Instances     int
+	Targets       int
+	Slots         int           // per target
+	ClientLatency time.Duration // one way, between a caller and an instance
+	LinkLatency   time.Duration // one way, within the data centre
+	Classes       []ClassLoad
+	Tenants       []structs.Tenant
+	// WrongPart is the part of jobs whose declared run time is wrong by a
+	// factor of up to ten in either direction.
+	WrongPart float64
+}
+
+func tenants() []structs.Tenant {
+	return []structs.Tenant{
+		{Name: "north", Weight: 3},
+		{Name: "south", Weight: 2},
+		{Name: "east", Weight: 1},
+		{Name: "west", Weight: 1},
+		{Name: "audit", Weight: 1, QuotaSlots: 48},
+	}
+}
+
+// Resin returns the workload of one of the four yards.
+func Resin() Workload {
+	return Workload{
+		Name: "resin", Instances: 2, Targets: 12, Slots: 8,
+		ClientLatency: time.Millisecond, LinkLatency: 250 * time.Microsecond,
+		Tenants: tenants(), WrongPart: 0.2,
+		Classes: []ClassLoad{
+			{
+				Class: structs.Class{Name: "classification", Rank: 0, MaxQueue: 4000}, Part: 0.3,
+				MinRun: 50 * time.Millisecond, MaxRun: 300 * time.Millisecond,
+				MeanTasks: 4, ParallelPart: 0.3, Patience: 2 * time.Second,
+			},
+			{
+				Class: structs.Class{Name: "moisture", Rank: 1, MaxQueue: 4000}, Part: 0.3,
+				MinRun: 100 * time.Millisecond, MaxRun: 600 * time.Millisecond,
+				MeanTasks: 4, ParallelPart: 0.3, Patience: 3 * time.Second,
+			},
+			{
+				Class: structs.Class{Name: "assessment", Rank: 2, MaxQueue: 4000}, Part: 0.4,
+				MinRun: 200 * time.Millisecond, MaxRun: time.Second, LongPart: 0.02, LongRun: 4 * time.Second,
+				MeanTasks: 8, ParallelPart: 0.5, Patience: 5 * time.Second,
+			},
+		},
+	}
+}
+
+// Lanyards returns the workload of one of the four sites.
+func Lanyards() Workload {
+	return Workload{
+		Name: "lanyards", Instances: 2, Targets: 13, Slots: 8,
+		ClientLatency: 3 * time.Millisecond, LinkLatency: 250 * time.Microsecond,
+		Tenants: tenants(), WrongPart: 0.2,
+		Classes: []ClassLoad{
+			{
+				Class: structs.Class{Name: "void", Rank: 0, MaxQueue: 4000}, Part: 0.2,
+				MinRun: 50 * time.Millisecond, MaxRun: 400 * time.Millisecond,
+				MeanTasks: 3, ParallelPart: 0.2, Patience: 2 * time.Second,
+			},
+			{
+				Class: structs.Class{Name: "watchlist", Rank: 1, MaxQueue: 4000}, Part: 0.4,
+				MinRun: 100 * time.Millisecond, MaxRun: 800 * time.Millisecond,
+				MeanTasks: 5, ParallelPart: 0.4, Patience: 3 * time.Second,
+			},
+			{
+				Class: structs.Class{Name: "print", Rank: 2, MaxQueue: 4000}, Part: 0.4,
+				MinRun: 200 * time.Millisecond, MaxRun: time.Second, LongPart: 0.02, LongRun: 3 * time.Second,
+				MeanTasks: 6, ParallelPart: 0.3, Patience: 5 * time.Second,
+			},
+		},
+	}
+}
+
+// Config returns the system configuration that goes with the workload.
+func (w *Workload) Config() structs.SystemConfig {
+	config := structs.SystemConfig{
+		Version: 1, Classes: make(map[string]structs.Class), Tenants: make(map[string]structs.Tenant),
+	}
+	for _, c := range w.Classes {
+		config.Classes[c.Class.Name] = c.Class
+	}
+	for _, t := range w.Tenants {
+		config.Tenants[t.Name] = t
+	}
+	return config
+}
+
+// slots returns the slots of the whole fleet.
+func (w *Workload) slots() int { return w.Targets * w.Slots }
+
+// arrival is a job with the run times its tasks will have.
+type arrival struct {
+	job     structs.Job
+	class   int
+	runs    []time.Duration
+	longest time.Duration
+	sent    time.Time
+	flood   bool
+	resend  time.Duration // when the caller sends the job again; 0 for never
+}
+
+// maxParallel bounds the tasks of a job, so that one job does not take more
+// than a quarter of the small modelled fleet.
+const maxParallel = 24
+
+// draw makes a job of the class that is sent at the given time.
+func (w *Workload) draw(rng *rand.Rand, class int, sent time.Time, low uint64) *arrival {
+	c := &w.Classes[class]
+	a := &arrival{class: class, sent: sent}
+	n := 1
+	if rng.Float64() < c.ParallelPart {
+		n = min(maxParallel, 2+int(rng.ExpFloat64()*(c.MeanTasks-2)))
+	}
+	long := rng.Float64() < c.LongPart
+	wrong := 1.0
+	if rng.Float64() < w.WrongPart {
+		wrong = math.Pow(10, 2*rng.Float64()-1)
+	}
+	a.job = structs.Job{
+		ID: structs.JobIDAt(sent, low), Class: c.Class.Name, Tenant: w.Tenants[rng.IntN(len(w.Tenants))].Name,
+		Tasks: make([]structs.Task, n),
+	}
+	a.runs = make([]time.Duration, n)
+	for i := range n {
+		run := time.Duration(float64(c.MinRun) * math.Pow(float64(c.MaxRun)/float64(c.MinRun), rng.Float64()))
+		if long {
+			run = time.Duration(float64(c.LongRun) * (0.75 + rng.Float64()/2))
+		}
+		a.runs[i] = run.Truncate(time.Millisecond)
+		a.longest = max(a.longest, a.runs[i])
+		a.job.Tasks[i].DeclaredMS = max(1, int64(wrong*float64(run.Milliseconds())))
+	}
+	a.job.DeadlineUnixMS = sent.Add(a.longest + c.Patience).UnixMilli()
+	return a
+}
+
+// jobCost returns the mean slot time of a job of the class.
+func (w *Workload) jobCost(class int) time.Duration {
+	const samples = 20_000
+	rng := rand.New(rand.NewPCG(1, uint64(class)))
+	var sum time.Duration
+	for range samples {
+		for _, r := range w.draw(rng, class, time.Time{}, 0).runs {
+			sum += r
+		}
+	}
+	return sum / samples
+}
