Tell floods by the work offered instead of the queue

A class whose queue had grown was taken for a flood, was held to its usual demand, and so never got rid of the queue; its predicted waits were too short.

Change: a class floods when the run time offered to it, refused jobs included and smoothed over 2 s, exceeds three times its usual demand and all slots.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -47,6 +47,7 @@
 	if !c.leaseHeld {
 		return structs.ReasonNoLease, "the instance holds no lease"
 	}
+	j.class.offer(j.spec.Tasks)
 	if j.class.queued()+len(j.spec.Tasks) > j.class.maxQueue() {
 		return structs.ReasonQueueFull, "the queue of the class is full"
 	}
--- a/dispatch/baseline.go
+++ b/dispatch/baseline.go
@@ -12,13 +12,13 @@
 	// baselineSpread is how many standard deviations above the mean demand are
 	// protected.
 	baselineSpread = 2.0
-	// demandTime is the time constant with which demand is smoothed to tell a
-	// flood from a burst.
-	demandTime = 1 * time.Second
-	// floodFactor is how many times the usual demand the smoothed one must
+	// offeredTime is the time constant with which the offered work is smoothed
+	// to tell a flood from a burst.
+	offeredTime = 2 * time.Second
+	// floodFactor is how many times the usual demand the offered work must
 	// reach to be a flood. It must also exceed all slots, or bursts of parallel
 	// jobs would pass for floods.
-	floodFactor = 2.0
+	floodFactor = 3.0
 )
 
 // baseline is the number of slots protected for a class: a declared share, or
@@ -30,7 +30,8 @@
 	square float64 // square of the slots in use, smoothed
 	weight float64 // part of the averages that is based on samples, 0 to 1
 
-	demand   float64 // slots in use and tasks waiting, smoothed
+	arrived  float64 // run time offered since the last look, in seconds
+	offered  float64 // run time offered per time, in slots, smoothed
 	flooding bool
 }
 
@@ -45,11 +46,17 @@
 	return b.slots
 }
 
-// watch compares the smoothed demand with the usual one.
-func (b *baseline) watch(demand int, capacity float64, interval time.Duration) {
-	rate := 1 - math.Exp(-float64(interval)/float64(demandTime))
-	b.demand += rate * (float64(demand) - b.demand)
-	b.flooding = b.demand > floodFactor*float64(b.usual) && b.demand > capacity
+// watch compares the work offered, refused work included, with the usual demand.
+// The queue is no measure of a flood: a class that was held back once would be
+// taken for one because of its queue, and be held back for good.
+func (b *baseline) watch(capacity float64, interval time.Duration) {
+	if interval <= 0 {
+		return
+	}
+	rate := 1 - math.Exp(-float64(interval)/float64(offeredTime))
+	b.offered += rate * (b.arrived/interval.Seconds() - b.offered)
+	b.arrived = 0
+	b.flooding = b.offered > floodFactor*float64(b.usual) && b.offered > capacity
 }
 
 // learn adds a sample of the slots in use. The caller skips it while work waits
--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -41,6 +41,13 @@
 	return cl.spec.MaxQueue
 }
 
+// offer counts the work of a job that asks to be admitted.
+func (cl *class) offer(tasks []structs.Task) {
+	for i := range tasks {
+		cl.baseline.arrived += cl.runtimes.taskMS(tasks[i].DeclaredMS) / 1000
+	}
+}
+
 // queued returns the tasks of the class that have no attempt.
 func (cl *class) queued() int { return cl.waiting + cl.pending }
 
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -153,7 +153,7 @@
 		if !c.saturated {
 			cl.baseline.learn(cl.usage, interval)
 		}
-		cl.baseline.watch(cl.usage+cl.queued(), c.capacity(), interval)
+		cl.baseline.watch(c.capacity(), interval)
 		cl.baseline.refresh(cl.spec.SharePercent, c.fleet.total)
 		cl.runtimes.refresh(c.now)
 		c.unpark(cl)
