Predict waits against the usual demand of other classes, with a margin

Cause: with a third of the fleet gone, jobs of the last rank were admitted in the pauses of the higher ranks and then missed their deadlines.

Change: the prediction counts other classes with at least their usual demand, and multiplies waits by 1.5.

--- a/dispatch/allocate.go
+++ b/dispatch/allocate.go
@@ -81,9 +81,11 @@
 	return sum
 }
 
+// demand returns what the class asks for, or at least usually asks for: waits
+// last longer than the pauses between bursts.
 func (cl *class) demand(of *class, demand float64) float64 {
 	if cl == of {
 		return demand
 	}
-	return float64(cl.running + cl.queued())
+	return float64(max(cl.running+cl.queued(), cl.baseline.usual))
 }
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -7,6 +7,10 @@
 	"hawthornshore.example/structs"
 )
 
+// waitMargin is the factor on predicted waits: work of higher ranks that arrives
+// later passes the job, and a late refusal costs the caller more than an early.
+const waitMargin = 1.5
+
 // capacity returns the slots that the jobs of this instance can expect: its
 // part of the data centre's, or its own if it knows no peers' totals.
 func (c *Core) capacity() float64 {
@@ -33,7 +37,7 @@
 			wait, reason = byQuota, structs.ReasonQuota
 		}
 	}
-	total := wait + run
+	total := waitMargin*wait + run
 	if total > math.MaxInt64/float64(2*time.Millisecond) {
 		return math.MaxInt64 / 2, reason
 	}
