Ask peers for slots early, keep late loans for the next task

Change: such requests go to any peer after 5 ms. A peer that answers with none is left alone for 100 ms, doubling up to 2 s.

The experiment now counts each unused loan as three wasted messages, also when its request brought several loans.

--- a/dispatch/borrow.go
+++ b/dispatch/borrow.go
@@ -12,9 +12,15 @@
 	requestTimeout = 1 * time.Second
 	// blindAge is how long work must have waited before a peer that offers no
 	// free slots is asked to take it into its own order of service.
-	blindAge = 20 * time.Millisecond
+	blindAge = 5 * time.Millisecond
 	// blindInterval is the least time between two such requests for a class.
-	blindInterval = 20 * time.Millisecond
+	blindInterval = 5 * time.Millisecond
+	// blindSlots is the number of slots in such a request.
+	blindSlots = 4
+	// refusalPause is how long a peer that answered such a request with none is
+	// not asked again for the class; it doubles up to maxRefusalPause.
+	refusalPause    = 100 * time.Millisecond
+	maxRefusalPause = 2 * time.Second
 	// maxRequest bounds the slots in one request.
 	maxRequest = 64
 )
@@ -25,6 +31,12 @@
 	at    time.Duration
 }
 
+// refusal is the pause after requests that brought nothing.
+type refusal struct {
+	pause time.Duration
+	until time.Duration
+}
+
 // borrow asks peers for slots for work that found no free one. Requests in
 // flight count as slots, so that no task is asked for twice.
 func (c *Core) borrow() {
@@ -89,11 +101,11 @@
 		return
 	}
 	p := c.peers[c.rng.IntN(len(c.peers))]
-	if p.asked[cl.spec.Name] != nil || p.total <= c.fleet.total {
+	if p.asked[cl.spec.Name] != nil || c.now < p.pausedUntil(cl.spec.Name) {
 		return
 	}
 	cl.blind = c.now
-	c.request(p, cl, min(need, max(1, (p.total-c.fleet.total)/2)))
+	c.request(p, cl, min(need, max(blindSlots, (p.total-c.fleet.total)/2)))
 }
 
 func (c *Core) request(p *peer, cl *class, count int) {
@@ -121,13 +133,37 @@
 			clear(p.asked)
 		}
 		delete(p.asked, e.Class)
+		p.learn(e.Class, len(e.Slots), c.now)
 	}
 	for i := range e.Slots {
 		loan := &e.Slots[i]
-		if c.since(loan.Expires) <= c.now || !c.useLoan(e, loan) {
-			c.emit(ReturnSlot{Peer: e.Peer, TargetID: loan.Target.TargetID, Class: e.Class})
+		if c.since(loan.Expires) > c.now && c.useLoan(e, loan) {
+			continue
 		}
+		c.hold(e, loan)
+	}
+}
+
+func (p *peer) pausedUntil(class string) time.Duration {
+	if r := p.refusals[class]; r != nil {
+		return r.until
+	}
+	return 0
+}
+
+// learn lengthens the pause after an empty answer and ends it after a loan.
+func (p *peer) learn(class string, slots int, now time.Duration) {
+	if slots > 0 {
+		delete(p.refusals, class)
+		return
+	}
+	r := p.refusals[class]
+	if r == nil {
+		r = &refusal{pause: refusalPause / 2}
+		p.refusals[class] = r
 	}
+	r.pause = min(2*r.pause, maxRefusalPause)
+	r.until = now + r.pause
 }
 
 // useLoan starts a waiting task on a loan.
--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -18,6 +18,7 @@
 	current *job          // partly placed job whose other tasks go next
 	parked  []*job        // jobs that wait for the retry budget
 	asks    []*loanAsk    // requests of peers, oldest first
+	held    []*heldLoan   // loans without a task, oldest first
 	waiting int           // waiting tasks of released jobs, parked ones excluded
 	pending int           // tasks of admitted jobs that are not released
 	running int           // live attempts of jobs of this instance
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -12,6 +12,7 @@
 	targets  int
 	ejected  int
 	asked    map[string]*loanRequest // open requests to the peer, by class
+	refusals map[string]*refusal     // requests that brought nothing, by class
 }
 
 // Offer is what this instance tells its peers about the slots it manages.
@@ -54,7 +55,7 @@
 func (c *Core) peerSlots(e *PeerSlots) {
 	p := c.peer(e.Peer)
 	if p == nil {
-		p = &peer{name: e.Peer, asked: make(map[string]*loanRequest)}
+		p = &peer{name: e.Peer, asked: make(map[string]*loanRequest), refusals: make(map[string]*refusal)}
 		c.peers = append(c.peers, p)
 		c.splitQuotas()
 	}
@@ -78,6 +79,7 @@
 	for _, cl := range c.ranked {
 		cl.asks = slices.DeleteFunc(cl.asks, func(a *loanAsk) bool { return a.peer == name })
 	}
+	c.dropHeld(name)
 	for _, t := range c.fleet.targets {
 		c.endLoans(t, func(l *lentSlot) bool { return l.peer == name })
 	}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -77,6 +77,11 @@
 		c.startBound()
 		return
 	}
+	for _, cl := range c.ranked {
+		if len(cl.held) > 0 && c.leaseHeld {
+			c.useHeld(cl)
+		}
+	}
 	for c.fleet.free > 0 {
 		cl := c.nextClass()
 		if cl == nil {
--- a/experiment/messages.go
+++ b/experiment/messages.go
@@ -16,21 +16,27 @@
 
 func (m *Messages) wasted(n int) { m.Wasted += n }
 
-// granted counts the answer to a request and the loans of it that the borrower
-// returned at once. If no loan was used, the request and its answer are wasted
-// as well as the returns.
-func (m *Messages) granted(slots, unused int) {
+// granted counts the answer to a request. An empty one wastes itself and its
+// request.
+func (m *Messages) granted(slots int) {
 	m.Grants++
-	m.Unused += unused
-	m.wasted(unused)
 	if slots == 0 {
 		m.Empty++
-	}
-	if slots == unused {
 		m.wasted(2)
 	}
 }
 
+// returned counts a returned loan. An unused one wastes the return and, as if it
+// were the only loan of its request, the request and its answer; this counts too
+// many when a request brought several loans.
+func (m *Messages) returned(unused bool) {
+	m.Returns++
+	if unused {
+		m.Unused++
+		m.wasted(3)
+	}
+}
+
 // WastedPerStart returns the wasted messages per start that a target began.
 func (m *Messages) WastedPerStart() float64 {
 	if m.Begun == 0 {
--- a/experiment/node.go
+++ b/experiment/node.go
@@ -23,7 +23,7 @@
 	n.core.Step(now, ev)
 	effects := n.core.Ready()
 	if g, ok := ev.(dispatch.SlotsGranted); ok {
-		n.run.result.Messages.granted(len(g.Slots), countUnused(effects))
+		n.run.result.Messages.granted(len(g.Slots))
 	}
 	for _, e := range effects {
 		n.effect(e)
@@ -68,23 +68,12 @@
 		n.send(e.Peer, dispatch.SlotReturned{
 			Peer: n.name, TargetID: e.TargetID, Failed: e.Failed, RunMS: e.RunMS, Class: e.Class,
 		})
-		r.result.Messages.Returns++
+		r.result.Messages.returned(e.RunMS == 0 && !e.Failed)
 	case dispatch.TargetEjected:
 		r.result.Ejections++
 	}
 }
 
-// countUnused counts the loans that a core returns without a start.
-func countUnused(effects []dispatch.Effect) int {
-	unused := 0
-	for _, e := range effects {
-		if _, ok := e.(dispatch.ReturnSlot); ok {
-			unused++
-		}
-	}
-	return unused
-}
-
 // send delivers an event to a peer unless the link is cut.
 func (n *node) send(peer string, ev dispatch.Event) {
 	to := n.run.nodes[peer]
