Test the target client and the emulated target

Cause: both decide whether a start may be sent elsewhere, so their failures would show as duplicate starts far away from here.

Ruled out: an assertion on real durations; timeouts are either never reached or end in an outcome that is checked instead.

Before: no tests. Two faults were found by writing them: Serve set the state back to ready when Leave came first, and a test server that does not read the body hangs at its end, because net/http notices a closed connection only after the body.

--- /dev/null
+++ b/emulator/records_test.go
@@ -0,0 +1,48 @@
+package emulator
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/structs"
+	"hawthornshore.example/targetapi"
+)
+
+var _ = Describe("attempt records", func() {
+	var target *Target
+	job := structs.JobIDAt(time.UnixMilli(1_700_000_000_000), 1)
+	first := structs.AttemptID{Job: job, Task: 0, Number: 1}
+	second := structs.AttemptID{Job: job, Task: 1, Number: 1}
+
+	BeforeEach(func() {
+		var err error
+		target, err = New(Options{ID: "t1", Slots: 2, RunTime: Fixed(time.Hour)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(target.Close)
+	})
+
+	It("are dropped after their retention, but not while the attempt runs", func() {
+		now := time.Now()
+		target.begin(first, targetapi.StartRequest{}, now)
+		target.tombstone(second)
+		target.prune(now.Add(recordRetention - time.Second))
+		Expect(target.attempts).To(HaveLen(2))
+		target.prune(now.Add(recordRetention + time.Hour))
+		Expect(target.attempts).To(HaveLen(1))
+		Expect(target.attempts).To(HaveKey(first))
+	})
+
+	It("refuse a start whose window passed before it could begin", func() {
+		request := targetapi.StartRequest{StartWithinMS: 10}
+		a := target.begin(first, request, time.Now().Add(-time.Minute))
+		Expect(a.report.Cause).To(Equal(targetapi.CauseExpired))
+		Expect(target.begin(second, request, time.Now().Add(time.Minute)).report.State).To(Equal(targetapi.AttemptAccepted))
+	})
+
+	It("refuse a start that arrives while the target closes", func() {
+		Expect(target.Close()).To(Succeed())
+		Expect(target.begin(first, targetapi.StartRequest{}, time.Now()).report.State).To(Equal(targetapi.AttemptRefused))
+	})
+})
--- a/emulator/target.go
+++ b/emulator/target.go
@@ -77,7 +77,7 @@
 // Serve serves and announces the target until Close or the end of Leave. It
 // returns nil after either.
 func (t *Target) Serve() error {
-	t.setState(structs.TargetReady)
+	t.becomeReady()
 	t.log.Info().Str("event", "target_ready").Str("address", t.Ref().Address).Int("slots", t.options.Slots).Send()
 	var group errgroup.Group
 	group.Go(func() error {
@@ -202,10 +202,25 @@
 	}
 }
 
+// becomeReady ends the state starting. A target that was told to leave before
+// it served stays leaving.
+func (t *Target) becomeReady() {
+	t.mu.Lock()
+	if t.state == structs.TargetStarting {
+		t.state = structs.TargetReady
+	}
+	t.mu.Unlock()
+	t.wakeAnnouncer()
+}
+
 func (t *Target) setState(state structs.TargetState) {
 	t.mu.Lock()
 	t.state = state
 	t.mu.Unlock()
+	t.wakeAnnouncer()
+}
+
+func (t *Target) wakeAnnouncer() {
 	select {
 	case t.stateChanged <- struct{}{}:
 	default:
--- /dev/null
+++ b/targetapi/client_test.go
@@ -0,0 +1,272 @@
+package targetapi_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/structs"
+	"hawthornshore.example/targetapi"
+)
+
+func TestTargetAPI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "targetapi")
+}
+
+const (
+	incarnation = "inc-1"
+	long        = 30 * time.Second // never reached unless a test hangs
+	short       = 20 * time.Millisecond
+)
+
+var attempt = structs.AttemptID{Job: structs.JobIDAt(time.UnixMilli(1_700_000_000_000), 1), Number: 1}
+
+// line returns a report of the expected attempt and incarnation.
+func line(state targetapi.AttemptState) targetapi.AttemptReport {
+	return targetapi.AttemptReport{AttemptID: attempt.String(), Incarnation: incarnation, State: state}
+}
+
+// stream answers with reports and then ends the stream.
+func stream(reports ...targetapi.AttemptReport) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for _, report := range reports {
+			_ = json.NewEncoder(w).Encode(report)
+		}
+	}
+}
+
+// hang sends reports and then nothing more until the client leaves.
+func hang(reports ...targetapi.AttemptReport) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only after the body
+		stream(reports...)(w, r)
+		if len(reports) > 0 {
+			_ = http.NewResponseController(w).Flush()
+		}
+		<-r.Context().Done()
+	}
+}
+
+var _ = Describe("Client", func() {
+	var (
+		ctx        context.Context
+		client     *targetapi.Client
+		mismatches atomic.Int32
+		opened     atomic.Int32 // connections opened to the server
+	)
+
+	serve := func(handler http.HandlerFunc) structs.TargetRef {
+		server := httptest.NewUnstartedServer(handler)
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		server.Start()
+		DeferCleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		return structs.TargetRef{TargetID: "t1", Incarnation: incarnation, Address: server.Listener.Addr().String()}
+	}
+	call := func() targetapi.StartCall {
+		return targetapi.StartCall{Attempt: attempt, AckTimeout: long, SilenceTimeout: long}
+	}
+	expectStepError := func(err error, step string) {
+		GinkgoHelper()
+		var stepError *structs.StepError
+		Expect(errors.As(err, &stepError)).To(BeTrue())
+		Expect(stepError.Step).To(Equal(step))
+		Expect(stepError.Peer).To(Equal("t1"))
+	}
+
+	BeforeEach(func() {
+		ctx = context.Background()
+		mismatches.Store(0)
+		opened.Store(0)
+		client = targetapi.NewClient(targetapi.Options{
+			OnMismatch: func(structs.TargetRef, structs.AttemptID, targetapi.AttemptReport) { mismatches.Add(1) },
+		})
+		DeferCleanup(client.Close)
+	})
+
+	It("acknowledges once, even when accepted is repeated", func() {
+		acks := 0
+		start := call()
+		start.OnAccepted = func() { acks++ }
+		target := serve(stream(line("accepted"), line("accepted"), line("running"), line("done")))
+		result := client.Start(ctx, target, start)
+		Expect(result.Outcome).To(Equal(targetapi.StartDone))
+		Expect(result.Err).NotTo(HaveOccurred())
+		Expect(acks).To(Equal(1))
+	})
+
+	DescribeTable("keeps the ends of an attempt apart",
+		func(want targetapi.StartOutcome, accepted bool, reports ...targetapi.AttemptReport) {
+			result := client.Start(ctx, serve(stream(reports...)), call())
+			Expect(result.Outcome).To(Equal(want))
+			Expect(result.Accepted).To(Equal(accepted))
+		},
+		Entry("failed task", targetapi.StartFailed, true, line("accepted"), line("failed")),
+		Entry("refusal is no acknowledgement", targetapi.StartRefused, false, line("refused")),
+		Entry("attached to an attempt that has ended", targetapi.StartDone, true, line("done")),
+		Entry("stream that ends early may run on", targetapi.StartSilent, true, line("accepted"), line("running")),
+		Entry("answer without a line may have started", targetapi.StartSilent, false),
+	)
+
+	It("reports a start to a closed port as not sent, so that it may go elsewhere", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener.Close()
+		target := structs.TargetRef{TargetID: "t1", Incarnation: incarnation, Address: listener.Addr().String()}
+		result := client.Start(ctx, target, call())
+		Expect(result.Outcome).To(Equal(targetapi.StartNotSent))
+		expectStepError(result.Err, "start")
+	})
+
+	It("reports a start without acknowledgement as silent, never as not sent", func() {
+		start := call()
+		start.AckTimeout = short
+		result := client.Start(ctx, serve(hang()), start)
+		Expect(result.Outcome).To(Equal(targetapi.StartSilent))
+		Expect(result.Accepted).To(BeFalse())
+		Expect(errors.Is(result.Err, targetapi.ErrSilent)).To(BeTrue())
+		expectStepError(result.Err, "start")
+	})
+
+	It("notices that an acknowledged attempt has fallen silent", func() {
+		start := call()
+		start.SilenceTimeout = short
+		result := client.Start(ctx, serve(hang(line("accepted"))), start)
+		Expect(result.Outcome).To(Equal(targetapi.StartSilent))
+		Expect(result.Accepted).To(BeTrue())
+		Expect(errors.Is(result.Err, targetapi.ErrSilent)).To(BeTrue())
+	})
+
+	It("does not send a start again when a reused connection closes on it", func() {
+		var starts atomic.Int32
+		target := serve(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodGet {
+				stream(line("running"))(w, r)
+				return
+			}
+			starts.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		_, err := client.Ask(ctx, target, attempt)
+		Expect(err).NotTo(HaveOccurred())
+		result := client.Start(ctx, target, call())
+		Expect(result.Outcome).To(Equal(targetapi.StartSilent))
+		Expect(starts.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("discards reports of another attempt or incarnation and counts them", func() {
+		otherAttempt, otherIncarnation := line("done"), line("done")
+		otherAttempt.AttemptID = structs.AttemptID{Job: attempt.Job, Number: 2}.String()
+		otherIncarnation.Incarnation = "inc-2"
+		own := line("done")
+		own.Output = json.RawMessage(`"own"`)
+		result := client.Start(ctx, serve(stream(otherAttempt, line("accepted"), otherIncarnation, own)), call())
+		Expect(result.Report.Output).To(MatchJSON(`"own"`))
+		Expect(mismatches.Load()).To(BeEquivalentTo(2))
+
+		_, err := client.Ask(ctx, serve(stream(otherIncarnation)), attempt)
+		Expect(errors.Is(err, targetapi.ErrMismatch)).To(BeTrue())
+		expectStepError(err, "ask")
+		Expect(mismatches.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("takes the refusal of a restarted target, which names its new incarnation", func() {
+		refusal := line("refused")
+		refusal.Cause = targetapi.CauseIncarnation
+		refusal.Incarnation = "inc-2"
+		result := client.Start(ctx, serve(stream(refusal)), call())
+		Expect(result.Outcome).To(Equal(targetapi.StartRefused))
+		Expect(result.Report.Cause).To(Equal(targetapi.CauseIncarnation))
+		Expect(mismatches.Load()).To(BeZero())
+	})
+
+	It("sends each call to its own path with the incarnation", func() {
+		var seen []string
+		target := serve(func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.Header.Get(targetapi.IncarnationHeader)).To(Equal(incarnation))
+			seen = append(seen, r.Method+" "+r.URL.Path)
+			stream(line("running"))(w, r)
+		})
+		for _, f := range []func(context.Context, structs.TargetRef, structs.AttemptID) (targetapi.AttemptReport, error){
+			client.Ask, client.Tombstone, client.Cancel, client.Resolve,
+		} {
+			_, err := f(ctx, target, attempt)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		path := "/v1/attempts/" + attempt.String()
+		Expect(seen).To(Equal([]string{"GET " + path, "POST " + path + "/tombstone", "POST " + path + "/cancel", "POST " + path + "/tombstone"}))
+	})
+
+	It("resolves on a new connection although a pooled one is idle", func() {
+		target := serve(stream(line("running")))
+		for range 2 {
+			_, err := client.Ask(ctx, target, attempt)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(opened.Load()).To(BeEquivalentTo(1), "pooled calls share a connection")
+		for want := int32(2); want <= 3; want++ {
+			_, err := client.Resolve(ctx, target, attempt)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(opened.Load()).To(Equal(want))
+		}
+	})
+
+	It("opens 60 connections per target at most and keeps some for Resolve", func() {
+		ctx, cancel := context.WithCancel(ctx)
+		target := serve(hang())
+		var calls sync.WaitGroup
+		for i := range 2 * targetapi.MaxConnections {
+			calls.Go(func() {
+				start := call()
+				start.Attempt.Task = i
+				client.Start(ctx, target, start)
+			})
+		}
+		Eventually(opened.Load).Should(BeNumerically(">=", targetapi.MaxConnections/2))
+		for range targetapi.MaxConnections {
+			calls.Go(func() { _, _ = client.Resolve(ctx, target, attempt) })
+		}
+		Eventually(opened.Load).Should(BeEquivalentTo(targetapi.MaxConnections))
+		Consistently(opened.Load, "50ms").Should(BeEquivalentTo(targetapi.MaxConnections))
+		cancel()
+		calls.Wait()
+	})
+
+	It("reuses the connection of a stream that ended", func() {
+		target := serve(stream(line("accepted"), line("done")))
+		Expect(client.Start(ctx, target, call()).Outcome).To(Equal(targetapi.StartDone))
+		Eventually(func() int32 {
+			before := opened.Load()
+			client.Start(ctx, target, call())
+			return opened.Load() - before
+		}).Should(BeZero())
+	})
+
+	It("does not read a report without bound", func() {
+		target := serve(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"output":"%0*d"}`, targetapi.MaxReportBytes, 0)
+		})
+		Expect(client.Start(ctx, target, call()).Outcome).To(Equal(targetapi.StartSilent))
+		_, err := client.Ask(ctx, target, attempt)
+		Expect(err).To(HaveOccurred())
+	})
+})
