Add hawthornctl with its HTTP client

Cause: operators need to check, compare and apply settings, look at instances and submit jobs without writing HTTP requests by hand. Ruled out: following redirections and trying another address after a refusal (both could carry a decided call to a second instance); one exit code for all failures (scripts could not tell a conflict from a lost answer). Before: no command-line tool.

--- /dev/null
+++ b/apps/hawthornctl/internal/api/operator.go
@@ -0,0 +1,85 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"hawthornshore.example/operatorapi"
+)
+
+// Statuses asks every address for its status.
+func (c *Client) Statuses(ctx context.Context) []Reply[operatorapi.Status] {
+	return all[operatorapi.Status](ctx, c, operatorapi.PathStatus)
+}
+
+// Targets asks every address for the targets that it knows.
+func (c *Client) Targets(ctx context.Context) []Reply[operatorapi.Targets] {
+	return all[operatorapi.Targets](ctx, c, operatorapi.PathTargets)
+}
+
+// Classes asks every address for its load by class.
+func (c *Client) Classes(ctx context.Context) []Reply[operatorapi.Classes] {
+	return all[operatorapi.Classes](ctx, c, operatorapi.PathClasses)
+}
+
+// Members returns the member list of the first address that answers.
+func (c *Client) Members(ctx context.Context) (operatorapi.Members, error) {
+	return get[operatorapi.Members](ctx, c, operatorapi.PathMembers, nil)
+}
+
+// Config returns the configuration of the first address that answers.
+func (c *Client) Config(ctx context.Context) (operatorapi.Config, error) {
+	return get[operatorapi.Config](ctx, c, operatorapi.PathConfig, nil)
+}
+
+// History returns at most limit applied changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) (operatorapi.History, error) {
+	query := url.Values{operatorapi.QueryLimit: {strconv.Itoa(limit)}}
+	return get[operatorapi.History](ctx, c, operatorapi.PathHistory, query)
+}
+
+func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
+	var reply T
+	request := &call{method: http.MethodGet, path: path, query: query, decode: decodeInto(&reply, http.StatusOK)}
+	err := c.first(ctx, request, c.timeout)
+	return reply, err
+}
+
+// Apply replaces the configuration. A lost answer is resent with the same
+// operation ID, which cannot apply the change twice.
+func (c *Client) Apply(ctx context.Context, request operatorapi.ApplyRequest) (operatorapi.ApplyReply, error) {
+	var reply operatorapi.ApplyReply
+	body, err := json.Marshal(request)
+	if err != nil {
+		return reply, errors.Trace(err)
+	}
+	err = c.first(ctx, &call{
+		method: http.MethodPut,
+		path:   operatorapi.PathConfig,
+		body:   body,
+		decode: decodeInto(&reply, http.StatusOK, http.StatusConflict),
+	}, c.timeout)
+	return reply, err
+}
+
+// Drain asks the instance at the first address to stop. It is sent once: the
+// next address would be another instance.
+func (c *Client) Drain(ctx context.Context, request operatorapi.DrainRequest) (operatorapi.DrainReply, error) {
+	var reply operatorapi.DrainReply
+	body, err := json.Marshal(request)
+	if err != nil {
+		return reply, errors.Trace(err)
+	}
+	err = c.send(ctx, c.bases[0], &call{
+		method: http.MethodPost,
+		path:   operatorapi.PathDrain,
+		body:   body,
+		decode: decodeInto(&reply, http.StatusAccepted),
+	}, c.timeout)
+	return reply, err
+}
--- /dev/null
+++ b/apps/hawthornctl/internal/cli/config_apply.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"hawthornshore.example/operatorapi"
+)
+
+type configApplyCommand struct {
+	Dir           string        `arg:"" help:"Folder of INI files."`
+	ExpectVersion uint64        `required:"" placeholder:"N" help:"Version in force that the change was made for, as config diff prints it."`
+	OperationID   string        `name:"operation-id" help:"Name of this change. Repeat it to resend after a lost answer: the change is applied at most once. A new one is made if it is left out."`
+	Operator      string        `env:"USER" default:"unknown" help:"Who makes the change; recorded in the history. Defaults to the user name."`
+	Wait          bool          `help:"Wait until all live members run the new version."`
+	WaitTimeout   time.Duration `default:"15s" help:"Longest wait with --wait."`
+}
+
+// Help is shown by --help.
+func (c *configApplyCommand) Help() string {
+	return `Replaces all classes and tenants by those of the folder, if the version in force is still the expected one. If another operator was first, nothing is changed, the exit code is 4 and the winner's change is printed: look at it, run "config diff" again and apply with the new version.
+
+If the answer is lost (exit code 5), run the printed command with the same operation ID: it returns the first answer or applies the change now.
+
+Example: hawthornctl config apply examples/resin/system --expect-version 4 --wait`
+}
+
+// Run applies the folder.
+func (c *configApplyCommand) Run(e *environment) error {
+	config, _, err := loadSystem(c.Dir)
+	if err != nil {
+		return err
+	}
+	request := operatorapi.ApplyRequest{
+		ExpectedVersion: c.ExpectVersion,
+		OperationID:     c.OperationID,
+		Operator:        c.Operator,
+		Classes:         config.Classes,
+		Tenants:         config.Tenants,
+	}
+	if request.OperationID == "" {
+		request.OperationID = uuid.Must(uuid.NewV7()).String()
+	}
+	if err := request.Check(); err != nil {
+		return withCode(ExitUsage, "%v", err)
+	}
+	reply, err := e.client.Apply(e.ctx, request)
+	if err != nil {
+		return errors.Annotatef(err, "the change may or may not be in force; to find out, add --operation-id %s and run the command again", request.OperationID)
+	}
+	if err := c.print(e, request.OperationID, reply); err != nil {
+		return err
+	}
+	if reply.Result == operatorapi.ApplyConflict {
+		return conflictError(c.ExpectVersion, reply)
+	}
+	if c.Wait {
+		return c.wait(e, reply.Version)
+	}
+	return nil
+}
+
+func (c *configApplyCommand) print(e *environment, operationID string, reply operatorapi.ApplyReply) error {
+	if e.print.json {
+		return e.print.object(reply)
+	}
+	err := e.print.line("result=%s version=%d operation_id=%s replayed=%t", reply.Result, reply.Version, operationID, reply.Replayed)
+	if err != nil || reply.Conflict == nil || len(reply.Conflict.Changes) == 0 {
+		return err
+	}
+	return e.print.table([]string{"SECTION", "KEY", "EXPECTED", "IN-FORCE"}, changeRows(reply.Conflict.Changes))
+}
+
+func conflictError(expected uint64, reply operatorapi.ApplyReply) error {
+	if reply.Conflict == nil {
+		return withCode(ExitConflict, "nothing was changed: version %d was expected, %d is in force", expected, reply.Version)
+	}
+	winner := reply.Conflict.Winner
+	return withCode(ExitConflict, "nothing was changed: version %d was expected, %d is in force; %s applied version %d at %s (operation %s)",
+		expected, reply.Version, winner.Operator, winner.Version, formatTime(winner.AppliedUnixMS), winner.OperationID)
+}
+
+// waitInterval is the pause between two looks at the members.
+const waitInterval = 200 * time.Millisecond
+
+// wait returns when all live members run the version.
+func (c *configApplyCommand) wait(e *environment, version uint64) error {
+	deadline := time.Now().Add(c.WaitTimeout)
+	for {
+		members, err := e.client.Members(e.ctx)
+		if err != nil {
+			return errors.Annotatef(err, "version %d is applied, but waiting for members failed", version)
+		}
+		behind, absent := behindVersion(members, version)
+		if len(behind) == 0 {
+			for _, name := range absent {
+				e.warn("member %s is not alive and was not waited for", name)
+			}
+			return c.reportWait(e, version, len(members.Members)-len(absent))
+		}
+		if time.Now().After(deadline) {
+			return withCode(ExitWaiting, "version %d is applied, but not yet in force at: %s", version, strings.Join(behind, ", "))
+		}
+		select {
+		case <-e.ctx.Done():
+			return errors.Trace(e.ctx.Err())
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func (c *configApplyCommand) reportWait(e *environment, version uint64, members int) error {
+	text := fmt.Sprintf("in_force version=%d members=%d", version, members)
+	if e.print.json {
+		_, err := fmt.Fprintln(e.streams.Err, text) // stdout holds one JSON object
+		return errors.Trace(err)
+	}
+	return e.print.line("%s", text)
+}
+
+// behindVersion lists live members with an older version, and members that are
+// not alive.
+func behindVersion(members operatorapi.Members, version uint64) (behind, absent []string) {
+	for _, member := range members.Members {
+		switch {
+		case member.State == operatorapi.MemberDead || member.State == operatorapi.MemberLeft:
+			absent = append(absent, member.Instance)
+		case member.ConfigVersion < version:
+			behind = append(behind, fmt.Sprintf("%s (version %d)", member.Instance, member.ConfigVersion))
+		}
+	}
+	return behind, absent
+}
+
+// AfterApply gives an empty user name, as in some containers, a usable value.
+func (c *configApplyCommand) AfterApply() error {
+	if c.Operator == "" {
+		c.Operator = "uid-" + fmt.Sprint(os.Getuid())
+	}
+	return nil
+}
--- /dev/null
+++ b/apps/hawthornctl/internal/cli/fake_test.go
@@ -0,0 +1,75 @@
+package cli_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// reply is an answer of a fake instance. Status 0 closes the connection
+// without an answer.
+type reply struct {
+	status int
+	body   string
+	served bool
+}
+
+// fakeInstance answers from queues and records the requests.
+type fakeInstance struct {
+	server *httptest.Server
+
+	mu       sync.Mutex
+	queues   map[string][]reply // by "METHOD PATH"
+	requests strings.Builder
+}
+
+func newFakeInstance() *fakeInstance {
+	f := &fakeInstance{queues: map[string][]reply{}}
+	f.server = httptest.NewServer(f)
+	return f
+}
+
+func (f *fakeInstance) queue(place string, r reply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.queues[place] = append(slices.DeleteFunc(f.queues[place], func(r reply) bool { return r.served }), r)
+}
+
+func (f *fakeInstance) received() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.requests.String()
+}
+
+// next records a request and returns its answer. The last answer of a path
+// repeats until another is queued.
+func (f *fakeInstance) next(r *http.Request, body []byte) reply {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fmt.Fprintf(&f.requests, "%s %s %s\n", r.Method, r.URL.RequestURI(), body)
+	place := r.Method + " " + r.URL.Path
+	queue := f.queues[place]
+	if len(queue) == 0 {
+		return reply{status: http.StatusNotFound, body: "no such path"}
+	}
+	answer := queue[0]
+	queue[0].served = true
+	if len(queue) > 1 {
+		f.queues[place] = queue[1:]
+	}
+	return answer
+}
+
+func (f *fakeInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	answer := f.next(r, body)
+	if answer.status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(answer.status)
+	_, _ = io.WriteString(w, answer.body)
+}
--- /dev/null
+++ b/apps/hawthornctl/internal/cli/global.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hawthornshore.example/apps/hawthornctl/internal/api"
+)
+
+// global holds the flags of all commands.
+type global struct {
+	Address     []string      `short:"a" env:"HAWTHORN_ADDRESS" default:"127.0.0.1:8080" placeholder:"ADDR" help:"HTTP address or URL of an instance; several are tried in order. Also read from HAWTHORN_ADDRESS, separated by commas."`
+	Timeout     time.Duration `default:"5s" help:"Longest wait for one answer (job submissions wait until the deadline)."`
+	Tries       int           `default:"3" help:"Most times that a call is sent, over all addresses, when its answer is lost (1 to 20)."`
+	JSON        bool          `name:"json" help:"Write results as JSON."`
+	NoHeader    bool          `help:"Leave out the first line of tables."`
+	Authority   string        `type:"existingfile" placeholder:"FILE" help:"Certificate authority of the instances, for https addresses."`
+	Certificate string        `type:"existingfile" placeholder:"FILE" help:"Certificate of the operator, for https addresses."`
+	Key         string        `type:"existingfile" placeholder:"FILE" help:"Private key of --certificate."`
+}
+
+// maxTries bounds the flag --tries.
+const maxTries = 20
+
+// Validate is called by kong after parsing.
+func (g *global) Validate() error {
+	if g.Tries < 1 || g.Tries > maxTries {
+		return fmt.Errorf("--tries must be 1 to %d", maxTries)
+	}
+	if g.Timeout <= 0 {
+		return fmt.Errorf("--timeout must be positive")
+	}
+	if (g.Certificate == "") != (g.Key == "") {
+		return fmt.Errorf("--certificate and --key belong together")
+	}
+	for _, address := range g.Address {
+		if address == "" {
+			return fmt.Errorf("--address must not be empty")
+		}
+	}
+	return nil
+}
+
+func (g *global) client() (*api.Client, error) {
+	config, err := g.tls()
+	if err != nil {
+		return nil, err
+	}
+	return api.New(api.Options{Addresses: g.Address, Timeout: g.Timeout, Tries: g.Tries, TLS: config}), nil
+}
+
+func (g *global) tls() (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if g.Authority != "" {
+		pem, err := os.ReadFile(g.Authority)
+		if err != nil {
+			return nil, errors.Annotate(err, "read --authority")
+		}
+		config.RootCAs = x509.NewCertPool()
+		if !config.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, errors.Errorf("read --authority: %s holds no certificate", g.Authority)
+		}
+	}
+	if g.Certificate != "" {
+		pair, err := tls.LoadX509KeyPair(g.Certificate, g.Key)
+		if err != nil {
+			return nil, errors.Annotate(err, "read --certificate and --key")
+		}
+		config.Certificates = []tls.Certificate{pair}
+	}
+	return config, nil
+}
--- /dev/null
+++ b/apps/hawthornctl/internal/cli/job_cancel.go
@@ -0,0 +1,30 @@
+package cli
+
+import (
+	"github.com/juju/errors"
+
+	"hawthornshore.example/structs"
+)
+
+type jobCancelCommand struct {
+	JobID      string `arg:"" name:"job-id" help:"ID of the job."`
+	DataCentre string `required:"" help:"Home of the job."`
+}
+
+// Help is shown by --help.
+func (c *jobCancelCommand) Help() string {
+	return `Prints the job's answer. A job that was cancelled before any task started is not-run (exit code 11).`
+}
+
+// Run cancels the job.
+func (c *jobCancelCommand) Run(e *environment) error {
+	id, err := structs.ParseJobID(c.JobID)
+	if err != nil {
+		return &codeError{code: ExitUsage, err: err}
+	}
+	answer, err := e.client.CancelJob(e.ctx, id, c.DataCentre)
+	if err != nil {
+		return errors.Annotatef(err, "cancel job %s", id)
+	}
+	return printAnswer(e, &answer)
+}
