--- a/settings/merge.go
+++ b/settings/merge.go
@@ -15,6 +15,7 @@
 	origins  Origins
 	sections []string // in the order of their first mention
 	problems Problems
+	faulty   map[string]bool // keys that have a problem, as in Problem.Key
 }
 
 // loadOptions make the library read every line as one plain assignment, which
@@ -28,7 +29,7 @@
 }
 
 func newMerged(document *Document, folder string) *merged {
-	return &merged{document: document, folder: folder, values: map[Name]string{}, origins: Origins{}}
+	return &merged{document: document, folder: folder, values: map[Name]string{}, origins: Origins{}, faulty: map[string]bool{}}
 }
 
 // add merges one file over the files before it.
@@ -169,18 +170,12 @@
 }
 
 // reported tells whether a key has a problem already.
-func (m *merged) reported(name Name) bool {
-	for _, p := range m.problems {
-		if p.Key == name.String() {
-			return true
-		}
-	}
-	return false
-}
+func (m *merged) reported(name Name) bool { return m.faulty[name.String()] }
 
 func (m *merged) problem(file string, line int, key, message, allowed string) {
 	if file == "" {
 		file = m.folder
 	}
+	m.faulty[key] = true
 	m.problems = append(m.problems, Problem{File: file, Line: line, Key: key, Message: message, Allowed: allowed})
 }
