--- a/apps/hawthornctl/internal/cli/run.go
+++ b/apps/hawthornctl/internal/cli/run.go
@@ -66,13 +66,7 @@
 func Run(args []string, streams Streams) int {
 	var line commands
 	exited := -1
-	parser, err := kong.New(&line,
-		kong.Name("hawthornctl"),
-		kong.Description(description),
-		kong.Writers(streams.Out, streams.Err),
-		kong.Exit(func(code int) { exited = code }),
-		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 110}),
-	)
+	parser, err := newParser(&line, streams, func(code int) { exited = code })
 	if err != nil {
 		fmt.Fprintf(streams.Err, "hawthornctl: %v\n", err)
 		return int(ExitFault)
@@ -92,6 +86,16 @@
 	return int(exitCode(err))
 }
 
+func newParser(line *commands, streams Streams, exit func(code int)) (*kong.Kong, error) {
+	return kong.New(line,
+		kong.Name("hawthornctl"),
+		kong.Description(description),
+		kong.Writers(streams.Out, streams.Err),
+		kong.Exit(exit),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 110}),
+	)
+}
+
 func runSelected(selected *kong.Context, flags *global, streams Streams) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
