Say what a missing path of an instance may mean

Ruled out: asking the instance for its version first (one more call that can be lost). Conclusion: none further.

--- a/apps/hawthornctl/internal/api/call.go
+++ b/apps/hawthornctl/internal/api/call.go
@@ -48,6 +48,9 @@
 // of the 5xx group may come from a load balancer, which lost the answer.
 func unexplained(status int) error {
 	err := fmt.Errorf("status %d %s without an explanation", status, http.StatusText(status))
+	if status == http.StatusNotFound || status == http.StatusMethodNotAllowed {
+		return fmt.Errorf("%w; the address may not be an instance, or its version does not serve the call", err)
+	}
 	if status >= http.StatusInternalServerError {
 		return &LostError{Err: err}
 	}
--- a/operatorapi/apply.go
+++ b/operatorapi/apply.go
@@ -11,7 +11,8 @@
 
 // ApplyRequest is the body of PUT /v1/config. It replaces all classes and
 // tenants if the version in force is ExpectedVersion. A resend with the same
-// operation ID returns the first answer and changes nothing.
+// operation ID returns the first answer and changes nothing; the same operation
+// ID with another body is refused with an ErrorReply.
 type ApplyRequest struct {
 	ExpectedVersion uint64                    `json:"expected_version"`
 	OperationID     string                    `json:"operation_id"`
