Add the ownership lease, hand-over at a stop, and random schedules

Cause: an owner must stop before another instance may admit the same IDs, in a data centre that is cut off from the voters as well.

Added to claims/events.go: MembersChanged.Rejoined, .Left and .Token; events Drain, HandOverReceived, HandOverAcked; effects SendHandOver, HandOverMatched, HandedOver, Forward (only after Drain or with a matching hand-over).

Ruled out: leader leases, as a replaced leader could still grant: renewals go through the log and Expire compares the count of renewals. Taking over in an epoch that not all members have settled in: a joined member could own what an isolated owner holds under promises of members it knows. Counting promises of a restarted process after a gap in the lease: it may have agreed to a takeover before. Expiring members while no member renews: after a cut the whole data centre would have to join again.

Before: LeaseChanged came from nowhere.

--- a/claims/answers.go
+++ b/claims/answers.go
@@ -54,6 +54,9 @@
 
 // finish sets the answer of a record and tells all that wait for it.
 func (c *Core) finish(r *record, a structs.Answer) {
+	if r.state < foreign {
+		c.open--
+	}
 	r.state = finished
 	r.answer = &a
 	r.expires = max(c.now, c.after(r.id.Time().UnixMilli())) + structs.AnswerRetention
@@ -107,6 +110,9 @@
 	if r.future {
 		c.futures--
 	}
+	if r.state < foreign {
+		c.open--
+	}
 	delete(c.records, r.id)
 }
 
--- a/claims/copies.go
+++ b/claims/copies.go
@@ -13,6 +13,7 @@
 type transfer struct {
 	peer string
 	ids  []structs.JobID
+	seal *HandOver // sent after the records
 }
 
 func (c *Core) sendCopy(r *record, peer string) {
@@ -99,8 +100,12 @@
 }
 
 // sortedIDs returns the IDs of all records, the oldest first.
-func (c *Core) sortedIDs() []structs.JobID {
-	ids := slices.Collect(maps.Keys(c.records))
+func (c *Core) sortedIDs() []structs.JobID { return sorted(c.records) }
+
+// sorted returns the IDs of a table, the oldest first, so that the order of
+// effects does not depend on that of a map.
+func sorted[V any](table map[structs.JobID]V) []structs.JobID {
+	ids := slices.Collect(maps.Keys(table))
 	slices.SortFunc(ids, func(a, b structs.JobID) int { return bytes.Compare(a[:], b[:]) })
 	return ids
 }
@@ -120,6 +125,9 @@
 	for n := 0; n < transferBatch && len(c.transfers) > 0; {
 		t := &c.transfers[0]
 		if len(t.ids) == 0 {
+			if t.seal != nil {
+				c.emit(SendHandOver{Peer: t.peer, HandOver: *t.seal})
+			}
 			c.transfers = c.transfers[1:]
 			continue
 		}
--- a/claims/core.go
+++ b/claims/core.go
@@ -37,6 +37,13 @@
 	transfers   []transfer
 	transferAt  time.Duration
 
+	open      int // own jobs without an answer
+	draining  bool
+	leaving   *leaving // the hand-over in progress or completed
+	parked    map[structs.JobID][]Submit
+	parkCount int
+	seals     map[int]seal // hand-overs received, by partition
+
 	effects []Effect
 }
 
@@ -49,6 +56,9 @@
 	// horizon is in Unix milliseconds. IDs before it may have been admitted
 	// elsewhere.
 	horizon int64
+	// seal is set while the partition is gained from a leaving owner that has
+	// handed over everything.
+	seal *seal
 }
 
 // New returns a core without members and without a lease.
@@ -63,6 +73,8 @@
 		opts:     opts,
 		records:  make(map[structs.JobID]*record),
 		requests: make(map[RequestID]structs.JobID),
+		parked:   make(map[structs.JobID][]Submit),
+		seals:    make(map[int]seal),
 	}
 }
 
@@ -95,8 +107,15 @@
 		c.clockChanged(e.Skewed)
 	case PeerRestarted:
 		c.peerRestarted(e.Peer)
+	case Drain:
+		c.draining = true
+	case HandOverReceived:
+		c.handOverReceived(e)
+	case HandOverAcked:
+		c.handOverAcked(e)
 	case Tick:
 	}
+	c.handOver()
 }
 
 // Ready returns the effects since the last call, in order.
@@ -115,6 +134,9 @@
 	if len(c.transfers) > 0 && (!ok || c.transferAt < at) {
 		at, ok = c.transferAt, true
 	}
+	if l := c.leaving; l != nil && len(l.waiting) > 0 && (!ok || l.resendAt < at) {
+		at, ok = l.resendAt, true
+	}
 	return c.opts.Start.Add(at), ok
 }
 
@@ -137,6 +159,7 @@
 		if r := c.records[id]; r != nil {
 			c.fire(r)
 		}
+		c.unparkLate(id)
 	}
 	if len(c.transfers) > 0 && c.transferAt <= c.now {
 		c.transferSome()
@@ -172,7 +195,10 @@
 	if !l.Held || l.Epoch != 0 && l.Epoch != c.epoch {
 		return false
 	}
-	return l.Until.IsZero() || c.now < l.Until.Sub(c.opts.Start)
+	if l.Until.IsZero() {
+		return true
+	}
+	return c.now < l.Until.Sub(c.opts.Start) && c.wall < l.Until.UnixMilli()
 }
 
 // mayAct says whether this instance may act as the owner of a partition.
--- a/claims/events.go
+++ b/claims/events.go
@@ -66,6 +66,13 @@
 type MembersChanged struct {
 	Epoch   uint64
 	Members []string
+	// Rejoined says that this instance was not a member all the time since the
+	// last MembersChanged, so that others may have owned its partitions.
+	Rejoined bool
+	// Left and Token name the member whose graceful leave began the epoch and
+	// the hand-over that it completed in the epoch before.
+	Left  string
+	Token uint64
 }
 
 // LeaseChanged says whether this instance may act as an owner. The zero values
@@ -92,22 +99,43 @@
 // memory. The core sends it the records it needs.
 type PeerRestarted struct{ Peer string }
 
+// Drain begins a graceful stop: no more jobs are admitted, those that were are
+// finished, and all records are handed over. HandedOver follows. New
+// submissions wait until they can be forwarded to the new owner.
+type Drain struct{}
+
+// HandOverReceived brings the hand-over of a leaving owner. If it matches what
+// this instance has received, HandOverMatched follows.
+type HandOverReceived struct {
+	Peer     string
+	HandOver HandOver
+}
+
+// HandOverAcked says that the peer has all records of the hand-over.
+type HandOverAcked struct {
+	Peer  string
+	Token uint64
+}
+
 // Tick lets the core act on timers; it is due at NextWake.
 type Tick struct{}
 
-func (Submit) isEvent()         {}
-func (Query) isEvent()          {}
-func (Cancel) isEvent()         {}
-func (Abandon) isEvent()        {}
-func (JobAdmitted) isEvent()    {}
-func (JobFinished) isEvent()    {}
-func (CopyAcked) isEvent()      {}
-func (CopyReceived) isEvent()   {}
-func (MembersChanged) isEvent() {}
-func (LeaseChanged) isEvent()   {}
-func (ClockChanged) isEvent()   {}
-func (PeerRestarted) isEvent()  {}
-func (Tick) isEvent()           {}
+func (Submit) isEvent()           {}
+func (Query) isEvent()            {}
+func (Cancel) isEvent()           {}
+func (Abandon) isEvent()          {}
+func (JobAdmitted) isEvent()      {}
+func (JobFinished) isEvent()      {}
+func (CopyAcked) isEvent()        {}
+func (CopyReceived) isEvent()     {}
+func (MembersChanged) isEvent()   {}
+func (LeaseChanged) isEvent()     {}
+func (ClockChanged) isEvent()     {}
+func (PeerRestarted) isEvent()    {}
+func (Drain) isEvent()            {}
+func (HandOverReceived) isEvent() {}
+func (HandOverAcked) isEvent()    {}
+func (Tick) isEvent()             {}
 
 // Copy is what the backup keeps of a job.
 type Copy struct {
@@ -151,9 +179,38 @@
 	Peer  string
 }
 
-func (Admit) isEffect()         {}
-func (Release) isEffect()       {}
-func (CancelJob) isEffect()     {}
-func (SendCopy) isEffect()      {}
-func (Reply) isEffect()         {}
-func (ClaimUncopied) isEffect() {}
+// SendHandOver sends the summary of what was handed over, after the copies. It
+// is sent again until HandOverAcked.
+type SendHandOver struct {
+	Peer     string
+	HandOver HandOver
+}
+
+// HandOverMatched tells the leaving owner that its records have arrived.
+type HandOverMatched struct {
+	Peer  string
+	Token uint64
+}
+
+// HandedOver says that a drained instance has no more unfinished jobs and that
+// the new owners of its partitions have its records, for lease.Leave. It is
+// repeated with another token if the members change before the leave.
+type HandedOver struct {
+	Token uint64
+	Epoch uint64
+}
+
+// Forward hands a waiting submission back, to be sent to the new owner of its
+// partition. It stands for the Reply of the request.
+type Forward struct{ Submit Submit }
+
+func (SendHandOver) isEffect()    {}
+func (HandOverMatched) isEffect() {}
+func (HandedOver) isEffect()      {}
+func (Forward) isEffect()         {}
+func (Admit) isEffect()           {}
+func (Release) isEffect()         {}
+func (CancelJob) isEffect()       {}
+func (SendCopy) isEffect()        {}
+func (Reply) isEffect()           {}
+func (ClaimUncopied) isEffect()   {}
--- /dev/null
+++ b/claims/handover.go
@@ -0,0 +1,168 @@
+package claims
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hawthornshore.example/structs"
+)
+
+// HandOver summarizes what a leaving owner has sent to the new owner of some of
+// its partitions.
+type HandOver struct {
+	Token      uint64
+	Epoch      uint64
+	Partitions []Seal
+}
+
+// Seal says that the leaving owner admits no more jobs of a partition, and which
+// IDs it has decided on.
+type Seal struct {
+	Partition int
+	// HorizonUnixMS bounds the statement: it covers IDs from this time on.
+	HorizonUnixMS int64
+	Count         int    // records with such IDs
+	Digest        uint64 // of those IDs, independent of their order
+}
+
+// seal is a Seal that matched the records of this instance.
+type seal struct {
+	token   uint64
+	horizon int64
+}
+
+// leaving is the hand-over of a draining instance in one epoch.
+type leaving struct {
+	token    uint64
+	waiting  map[string]bool // peers that have not acknowledged
+	resendAt time.Duration
+	done     bool // HandedOver was emitted
+}
+
+const (
+	// handOverResend is how long a peer may take to acknowledge a hand-over
+	// before everything is sent again. A transfer of 50,000 records takes as long.
+	handOverResend = 2 * time.Second
+	// sealedAge is how far a hand-over reaches back. Resubmissions of older IDs
+	// without a record are answered unknown by the new owner.
+	sealedAge = structs.AnswerRetention / 2
+)
+
+// handOver takes the next step of a graceful stop: wait for the jobs, send the
+// records, send the summaries, report.
+func (c *Core) handOver() {
+	if !c.draining || c.open > 0 || !c.leaseHeld() {
+		return
+	}
+	if c.leaving == nil {
+		c.leaving = &leaving{token: c.handOverToken(), waiting: make(map[string]bool)}
+		for _, peer := range c.heirs() {
+			c.leaving.waiting[peer] = true
+		}
+		c.sendHandOver()
+	}
+	l := c.leaving
+	if len(l.waiting) == 0 && !l.done {
+		l.done = true
+		c.emit(HandedOver{Token: l.token, Epoch: c.epoch})
+	}
+	if len(l.waiting) > 0 && l.resendAt <= c.now {
+		c.sendHandOver()
+	}
+}
+
+// handOverToken differs between processes and epochs. It is never 0.
+func (c *Core) handOverToken() uint64 {
+	b := binary.LittleEndian.AppendUint64(nil, c.epoch)
+	b = binary.LittleEndian.AppendUint64(b, uint64(c.opts.Start.UnixNano()))
+	return xxhash.Sum64(append(b, c.opts.Instance...)) | 1
+}
+
+// heirs returns the owners that the partitions will have without this instance.
+func (c *Core) heirs() []string {
+	heirs := make(map[string]bool)
+	for i := range c.partitions {
+		if p := &c.partitions[i]; c.mayAct(p) && p.backup != "" {
+			heirs[p.backup] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(heirs))
+}
+
+// sendHandOver sends all records to the heirs that have not acknowledged. The
+// summaries follow with the last copies.
+func (c *Core) sendHandOver() {
+	c.leaving.resendAt = c.now + handOverResend
+	byHeir := make(map[string][]structs.JobID)
+	for _, id := range c.sortedIDs() {
+		if p := c.partitionOf(id); p.owner == c.opts.Instance {
+			byHeir[p.backup] = append(byHeir[p.backup], id)
+		}
+	}
+	for _, peer := range slices.Sorted(maps.Keys(c.leaving.waiting)) {
+		c.startTransfer(peer, byHeir[peer])
+		c.queueSeal(peer)
+	}
+}
+
+// queueSeal appends the summary for a peer to the transfers.
+func (c *Core) queueSeal(peer string) {
+	h := HandOver{Token: c.leaving.token, Epoch: c.epoch}
+	for i := range c.partitions {
+		if p := &c.partitions[i]; c.mayAct(p) && p.backup == peer {
+			s := Seal{Partition: i, HorizonUnixMS: c.sealHorizon(p)}
+			s.Count, s.Digest = c.summarize(i, s.HorizonUnixMS)
+			h.Partitions = append(h.Partitions, s)
+		}
+	}
+	if len(c.transfers) == 0 {
+		c.transferAt = c.now
+	}
+	c.transfers = append(c.transfers, transfer{peer: peer, seal: &h})
+}
+
+func (c *Core) sealHorizon(p *partition) int64 {
+	return max(p.horizon, c.floor+1, c.wall-sealedAge.Milliseconds())
+}
+
+// summarize counts the records of a partition with IDs from the horizon on.
+func (c *Core) summarize(partition int, horizon int64) (count int, digest uint64) {
+	for id := range c.records {
+		if id.Time().UnixMilli() >= horizon && Partition(id) == partition {
+			count++
+			digest += xxhash.Sum64(id[:])
+		}
+	}
+	return count, digest
+}
+
+// handOverReceived keeps the seals of a hand-over whose records have all
+// arrived. They count if the voters name the hand-over in the next epoch.
+func (c *Core) handOverReceived(e HandOverReceived) {
+	if e.HandOver.Epoch != c.epoch {
+		return
+	}
+	for _, s := range e.HandOver.Partitions {
+		if s.Partition < 0 || s.Partition >= structs.Partitions {
+			return
+		}
+		count, digest := c.summarize(s.Partition, s.HorizonUnixMS)
+		if count != s.Count || digest != s.Digest {
+			return
+		}
+	}
+	for _, s := range e.HandOver.Partitions {
+		c.seals[s.Partition] = seal{token: e.HandOver.Token, horizon: s.HorizonUnixMS}
+	}
+	c.emit(HandOverMatched{Peer: e.Peer, Token: e.HandOver.Token})
+}
+
+func (c *Core) handOverAcked(e HandOverAcked) {
+	if c.leaving != nil && c.leaving.token == e.Token {
+		delete(c.leaving.waiting, e.Peer)
+	}
+}
--- /dev/null
+++ b/claims/lease/agreement.go
@@ -0,0 +1,166 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+)
+
+// Agreement is the voters' replicated state for the members of one data centre.
+// It is changed by Apply only, which is deterministic and reads no clock. Every
+// field must be part of the voters' snapshots.
+//
+// A member that acts in an epoch is not replaced before it has settled in a
+// later one or was removed; a removal leaves only members that the removed one
+// needs a promise from in every epoch it may still be in. So whoever is left can
+// tell, by waiting out its own promises, when the removed member has stopped.
+type Agreement struct {
+	Epoch   uint64
+	Members map[string]*MemberState
+	Left    string
+	Token   uint64
+}
+
+// MemberState is what the voters know of one member.
+type MemberState struct {
+	Joined uint64 // epoch since which it is a member without interruption
+	// Renewals counts its renewals. It goes on growing over removals.
+	Renewals uint64
+	Settled  uint64 // last epoch in which it settled
+	// Known holds the instances that were members in every epoch since its
+	// last renewal.
+	Known []string
+}
+
+// NewAgreement returns an agreement without members.
+func NewAgreement() *Agreement {
+	return &Agreement{Members: make(map[string]*MemberState)}
+}
+
+// Apply carries out one command of the log.
+func (a *Agreement) Apply(cmd Command) Result {
+	granted := false
+	switch cmd.Kind {
+	case Renew:
+		granted = a.renew(cmd)
+	case Join:
+		granted = a.join(cmd.Instance)
+	case Depart:
+		granted = a.depart(cmd)
+	case Expire:
+		granted = a.expire(cmd)
+	case Force:
+		granted = a.force(cmd)
+	}
+	return a.result(cmd.Instance, granted)
+}
+
+func (a *Agreement) result(instance string, granted bool) Result {
+	r := Result{Granted: granted, Confirmed: a.confirmed(), View: a.View()}
+	if m := a.Members[instance]; m != nil {
+		r.Renewals = m.Renewals
+	}
+	return r
+}
+
+// View returns the view of the current epoch.
+func (a *Agreement) View() View {
+	v := View{Epoch: a.Epoch, Left: a.Left, Token: a.Token}
+	for _, name := range a.names() {
+		v.Members = append(v.Members, Member{Name: name, Joined: a.Members[name].Joined})
+	}
+	return v
+}
+
+func (a *Agreement) names() []string { return slices.Sorted(maps.Keys(a.Members)) }
+
+// confirmed says whether all members have settled in the current epoch.
+func (a *Agreement) confirmed() bool {
+	for _, m := range a.Members {
+		if m.Settled != a.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+func (a *Agreement) renew(cmd Command) bool {
+	m := a.Members[cmd.Instance]
+	if m == nil || cmd.Epoch != a.Epoch {
+		return false
+	}
+	m.Renewals++
+	m.Known = a.names()
+	if cmd.Settled {
+		m.Settled = a.Epoch
+	}
+	return true
+}
+
+// join waits until the epoch is confirmed: a member that joined an unconfirmed
+// epoch has never acted, so that a removal may drop it again.
+func (a *Agreement) join(instance string) bool {
+	if a.Members[instance] != nil {
+		return true
+	}
+	if !a.confirmed() {
+		return false
+	}
+	a.Members[instance] = &MemberState{}
+	a.begin("", 0)
+	m := a.Members[instance]
+	m.Joined = a.Epoch
+	m.Renewals = a.Epoch << renewalsPerEpochBits
+	m.Known = a.names()
+	return true
+}
+
+// renewalsPerEpochBits makes the counts of a member that joins again start above
+// those of its earlier membership, without keeping removed members.
+const renewalsPerEpochBits = 32
+
+func (a *Agreement) depart(cmd Command) bool {
+	m := a.Members[cmd.Instance]
+	if m == nil || cmd.Epoch != a.Epoch || cmd.Renewals != m.Renewals {
+		return false
+	}
+	delete(a.Members, cmd.Instance)
+	a.begin(cmd.Instance, cmd.Token)
+	return true
+}
+
+// expire removes a member and everyone the member may not know of.
+func (a *Agreement) expire(cmd Command) bool {
+	m := a.Members[cmd.Instance]
+	if m == nil || cmd.Epoch != a.Epoch || cmd.Renewals != m.Renewals {
+		return false
+	}
+	remaining := slices.DeleteFunc(a.names(), func(name string) bool {
+		return name == cmd.Instance || !slices.Contains(m.Known, name)
+	})
+	if len(remaining) == 0 {
+		return false // nobody could tell when it has stopped
+	}
+	maps.DeleteFunc(a.Members, func(name string, _ *MemberState) bool {
+		return !slices.Contains(remaining, name)
+	})
+	a.begin("", 0)
+	return true
+}
+
+func (a *Agreement) force(cmd Command) bool {
+	if a.Members[cmd.Instance] == nil || cmd.Epoch != a.Epoch {
+		return false
+	}
+	delete(a.Members, cmd.Instance)
+	a.begin("", 0)
+	return true
+}
+
+// begin starts the next epoch with the current members.
+func (a *Agreement) begin(left string, token uint64) {
+	a.Epoch++
+	a.Left, a.Token = left, token
+	for _, m := range a.Members {
+		m.Known = slices.DeleteFunc(m.Known, func(name string) bool { return a.Members[name] == nil })
+	}
+}
--- /dev/null
+++ b/claims/lease/command.go
@@ -0,0 +1,46 @@
+package lease
+
+// Kind says what a command does to an Agreement.
+type Kind uint8
+
+// Kinds of commands.
+const (
+	// Renew extends the lease of a member.
+	Renew Kind = iota + 1
+	// Join adds an instance to the members.
+	Join
+	// Depart removes a member that has stopped acting, at its own request.
+	Depart
+	// Expire removes a member whose lease has ended, at the leader's request.
+	Expire
+	// Force removes a member that an operator states to be stopped.
+	Force
+)
+
+// Command is one entry of the voters' log.
+type Command struct {
+	Kind     Kind
+	Instance string
+	// Epoch is the epoch the command was made for. All kinds but Join are
+	// refused in any other epoch.
+	Epoch uint64
+	// Settled, on Renew, says that the instance has given up the partitions it
+	// does not own in Epoch and is bound by no promise to an instance that is
+	// not a member in Epoch.
+	Settled bool
+	// Renewals, on Depart and Expire, is the member's count of renewals that
+	// the command relies on. A renewal in between refuses the command.
+	Renewals uint64
+	// Token, on Depart, names the completed hand-over.
+	Token uint64
+}
+
+// Result is what the voters answer to a command, from the state after it.
+type Result struct {
+	Granted bool
+	// Confirmed says that all members have settled in the epoch of View.
+	Confirmed bool
+	// Renewals is the instance's count of renewals, 0 if it is not a member.
+	Renewals uint64
+	View     View
+}
--- /dev/null
+++ b/claims/lease/effects.go
@@ -0,0 +1,60 @@
+package lease
+
+import "time"
+
+// Effect is an output of the core, to be carried out by its owner.
+type Effect interface{ isEffect() }
+
+// Propose asks the voters to apply a command to the Agreement of this data
+// centre. The answer comes as GrantAnswered with the same sequence; without an
+// answer the core proposes again.
+type Propose struct {
+	Sequence uint64
+	Command  Command
+}
+
+// RequestPromise asks a member for a promise.
+type RequestPromise struct {
+	Peer     string
+	Epoch    uint64
+	Duration time.Duration
+	Sequence uint64
+}
+
+// AnswerPromise answers a PromiseRequested.
+type AnswerPromise struct {
+	Peer     string
+	Sequence uint64
+	Granted  bool
+	Epoch    uint64
+}
+
+// FetchView asks a peer that knows a newer epoch for its view.
+type FetchView struct{ Peer string }
+
+// MembersAgreed reports a newer view, for claims.MembersChanged.
+type MembersAgreed struct {
+	View View
+	// Rejoined says that this instance was not a member all the time since the
+	// last MembersAgreed, so that others may have owned its partitions.
+	Rejoined bool
+}
+
+// LeaseChanged reports the lease, for claims.LeaseChanged.
+type LeaseChanged struct {
+	Held      bool
+	Until     time.Time
+	Epoch     uint64
+	Confirmed bool
+}
+
+// Left says that the voters removed this instance at its request.
+type Left struct{}
+
+func (Propose) isEffect()        {}
+func (RequestPromise) isEffect() {}
+func (AnswerPromise) isEffect()  {}
+func (FetchView) isEffect()      {}
+func (MembersAgreed) isEffect()  {}
+func (LeaseChanged) isEffect()   {}
+func (Left) isEffect()           {}
--- /dev/null
+++ b/claims/lease/promises.go
@@ -0,0 +1,69 @@
+package lease
+
+// promiseRequested promises not to take over from a member, unless this
+// instance already knows an epoch that the member does not.
+func (c *Core) promiseRequested(e PromiseRequested) {
+	granted := e.Epoch >= c.view.Epoch
+	if granted {
+		end := c.now.Add(e.Duration + e.Duration/10)
+		if end.After(c.promised[e.Peer]) {
+			c.promised[e.Peer] = end
+		}
+	}
+	c.emit(AnswerPromise{Peer: e.Peer, Sequence: e.Sequence, Granted: granted, Epoch: c.view.Epoch})
+	c.forgetPromised()
+}
+
+// forgetPromised drops promises that bind no more.
+func (c *Core) forgetPromised() {
+	for peer, end := range c.promised {
+		if !c.now.Before(end) {
+			delete(c.promised, peer)
+		}
+	}
+}
+
+// promiseAnswered counts a promise. A process that has lost its memory may have
+// agreed to a later epoch before. Its promises count only if they begin while
+// the lease is held: until then neither the voters nor the earlier process can
+// have let anyone take over.
+func (c *Core) promiseAnswered(e PromiseAnswered) {
+	if e.Epoch > c.view.Epoch {
+		c.emit(FetchView{Peer: e.Peer})
+	}
+	sent, ok := c.sentAt(e.Sequence)
+	if !ok || !e.Granted || !c.view.Has(e.Peer) {
+		return
+	}
+	p := c.promises[e.Peer]
+	if p.incarnation != e.Incarnation && !c.held(c.now) {
+		return
+	}
+	p.incarnation = e.Incarnation
+	if sent.After(p.sent) {
+		p.sent = sent
+	}
+	c.promises[e.Peer] = p
+	c.extendByPromises()
+}
+
+// extendByPromises extends the lease by what every other member has promised.
+// A sole member has no one who could vouch for it.
+func (c *Core) extendByPromises() {
+	earliest := c.now
+	for _, m := range c.view.Members {
+		if m.Name == c.opts.Instance {
+			continue
+		}
+		p, ok := c.promises[m.Name]
+		if !ok {
+			return
+		}
+		if p.sent.Before(earliest) {
+			earliest = p.sent
+		}
+	}
+	if len(c.view.Members) > 1 {
+		c.extend(earliest)
+	}
+}
--- /dev/null
+++ b/claims/lease/renewal.go
@@ -0,0 +1,102 @@
+package lease
+
+import (
+	"time"
+
+	"hawthornshore.example/structs"
+)
+
+// renew begins a round: the voters and all other members are asked at once, so
+// that the lease goes on when either of them is out of reach.
+func (c *Core) renew() {
+	if c.left {
+		return
+	}
+	c.sequence++
+	c.renewAt = c.now.Add(c.interval())
+	if c.leaving != nil {
+		c.propose(c.depart())
+		return
+	}
+	if !c.view.Has(c.opts.Instance) {
+		c.propose(Command{Kind: Join})
+		return
+	}
+	c.rounds = append(c.rounds, round{sequence: c.sequence, sent: c.now, epoch: c.view.Epoch})
+	if len(c.rounds) > roundsKept {
+		c.rounds = c.rounds[1:]
+	}
+	c.propose(Command{Kind: Renew, Epoch: c.view.Epoch, Settled: c.settled()})
+	for _, m := range c.view.Members {
+		if m.Name == c.opts.Instance {
+			continue
+		}
+		c.emit(RequestPromise{
+			Peer:     m.Name,
+			Epoch:    c.view.Epoch,
+			Duration: structs.OwnerLease,
+			Sequence: c.sequence,
+		})
+	}
+}
+
+func (c *Core) propose(cmd Command) {
+	cmd.Instance = c.opts.Instance
+	c.emit(Propose{Sequence: c.sequence, Command: cmd})
+}
+
+func (c *Core) interval() time.Duration {
+	if c.confirmed && c.settled() {
+		return structs.OwnerRenewInterval
+	}
+	return unconfirmedInterval
+}
+
+// sentAt returns when a round of the current epoch began.
+func (c *Core) sentAt(sequence uint64) (time.Time, bool) {
+	for _, r := range c.rounds {
+		if r.sequence == sequence {
+			return r.sent, r.epoch == c.view.Epoch
+		}
+	}
+	return time.Time{}, false
+}
+
+func (c *Core) grantAnswered(e GrantAnswered) {
+	c.learn(e.Result.View)
+	if e.Result.View.Epoch != c.view.Epoch {
+		return
+	}
+	c.renewals = max(c.renewals, e.Result.Renewals)
+	c.confirmed = c.confirmed || e.Result.Confirmed
+	if sent, ok := c.sentAt(e.Sequence); ok && e.Result.Granted {
+		c.extend(sent)
+	}
+}
+
+// leave stops acting before the voters are asked to remove this instance.
+func (c *Core) leave(e Leave) {
+	if c.leaving != nil {
+		return
+	}
+	c.leaving = &e
+	c.renewAt = c.now
+	c.checkLeft()
+}
+
+// depart names the hand-over only in the epoch it was made for: in a later one
+// others may have owned the partitions in the meantime.
+func (c *Core) depart() Command {
+	cmd := Command{Kind: Depart, Epoch: c.view.Epoch, Renewals: c.renewals}
+	if c.leaving.Epoch == c.view.Epoch {
+		cmd.Token = c.leaving.Token
+	}
+	return cmd
+}
+
+func (c *Core) checkLeft() {
+	if c.leaving != nil && !c.left && !c.view.Has(c.opts.Instance) {
+		c.left = true
+		c.emit(Left{})
+	}
+}
--- /dev/null
+++ b/claims/lease/watch.go
@@ -0,0 +1,64 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hawthornshore.example/structs"
+)
+
+// Watch decides, at the leader of the voters, which members' leases have ended.
+// A renewal was requested before it was applied here, so that the local time of
+// the first look after it is a safe start of the count. A new leader begins with
+// a new Watch and so waits a whole lease for every member. Expire takes effect
+// only if no renewal was committed in between, so that a leader that was
+// replaced does no harm.
+type Watch struct {
+	seen map[string]observation
+}
+
+type observation struct {
+	renewals uint64
+	joined   uint64
+	at       time.Time
+}
+
+// NewWatch returns a watch that has seen no renewal.
+func NewWatch() *Watch { return &Watch{seen: make(map[string]observation)} }
+
+// anyRenewed says whether some member has renewed just now. If none has, the data
+// centre is cut off from the voters: its members act under promises, and no one
+// could take over from them.
+func (w *Watch) anyRenewed(now time.Time) bool {
+	for _, o := range w.seen {
+		if now.Sub(o.at) <= recentRenewal {
+			return true
+		}
+	}
+	return false
+}
+
+// recentRenewal is longer than structs.OwnerRenewInterval, so that a member that
+// renews is seen, and shorter than Wait less that interval, so that the members
+// of a data centre that is cut off are not.
+const recentRenewal = 3 * structs.OwnerRenewInterval / 2
+
+// Due returns the commands to propose now. The leader calls it at least once
+// per structs.OwnerRenewInterval with the state it has applied.
+func (w *Watch) Due(now time.Time, a *Agreement) []Command {
+	maps.DeleteFunc(w.seen, func(name string, _ observation) bool { return a.Members[name] == nil })
+	var out []Command
+	for _, name := range slices.Sorted(maps.Keys(a.Members)) {
+		m := a.Members[name]
+		o, ok := w.seen[name]
+		if !ok || o.renewals != m.Renewals || o.joined != m.Joined {
+			w.seen[name] = observation{m.Renewals, m.Joined, now}
+			continue
+		}
+		if now.Sub(o.at) >= Wait && w.anyRenewed(now) {
+			out = append(out, Command{Kind: Expire, Instance: name, Epoch: a.Epoch, Renewals: m.Renewals})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/claims/node_test.go
@@ -0,0 +1,262 @@
+package claims_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/structs"
+)
+
+// node is one instance: the cores and what the server would do around them.
+type node struct {
+	group  *group
+	name   string
+	phase  float64
+	boots  int
+	up     bool
+	frozen bool
+	inbox  []func()
+	claims *claims.Core
+	lease  *lease.Core
+	view   lease.View
+	wakes  map[string]time.Time // when the next Tick of a core is queued
+	jobs   map[structs.JobID]bool
+}
+
+// clock runs up to 4.2% too fast or too slow and stays within 400 ms, so that two
+// instances differ by at most 800 ms and 10% in speed.
+func (n *node) clock() time.Time {
+	t := n.group.now.Sub(start).Seconds()
+	offset := 0.4 * math.Sin(2*math.Pi*t/60+n.phase)
+	return n.group.now.Add(time.Duration(offset * float64(time.Second)))
+}
+
+func (n *node) process() string { return fmt.Sprintf("%s#%d", n.name, n.boots) }
+
+// boot starts a process without memory.
+func (n *node) boot() {
+	if n.up {
+		return
+	}
+	n.boots++
+	n.up, n.frozen, n.inbox = true, false, nil
+	n.view = lease.View{}
+	n.wakes = make(map[string]time.Time)
+	n.jobs = make(map[structs.JobID]bool)
+	n.claims = claims.New(claims.Options{Instance: n.name, DataCentre: "dc", Start: n.clock()})
+	n.lease = lease.New(lease.Options{Instance: n.name, Start: n.clock()})
+	n.leaseStep(lease.Tick{})
+	for _, peer := range n.group.nodes {
+		if peer != n {
+			n.group.send(n.name, peer.name, func() { peer.claimsStep(claims.PeerRestarted{Peer: n.name}) })
+		}
+	}
+}
+
+func (n *node) crash() { n.up = false }
+
+func (n *node) drain() { n.claimsStep(claims.Drain{}) }
+
+// freeze stops the process; what arrives waits for it.
+func (n *node) freeze(d time.Duration) {
+	if !n.up || n.frozen {
+		return
+	}
+	n.frozen = true
+	boot := n.boots
+	n.group.after(d, func() {
+		if !n.up || n.boots != boot {
+			return
+		}
+		n.frozen = false
+		inbox := n.inbox
+		n.inbox = nil
+		for _, run := range inbox {
+			run()
+		}
+	})
+}
+
+// do runs a step of this process once it is not frozen.
+func (n *node) do(run func()) {
+	switch {
+	case !n.up:
+	case n.frozen:
+		n.inbox = append(n.inbox, run)
+	default:
+		run()
+	}
+}
+
+func (n *node) claimsStep(ev claims.Event) {
+	n.do(func() {
+		if s, ok := ev.(claims.Submit); ok {
+			n.group.pending[requestKey{n.process(), s.Request}] = true
+		}
+		n.claims.Step(n.clock(), ev)
+		n.carryOut()
+	})
+}
+
+func (n *node) leaseStep(ev lease.Event) {
+	n.do(func() {
+		n.lease.Step(n.clock(), ev)
+		n.carryOut()
+	})
+}
+
+// carryOut handles effects until there are none, then queues the next ticks.
+func (n *node) carryOut() {
+	for range 100 {
+		fromLease, fromClaims := n.lease.Ready(), n.claims.Ready()
+		for _, e := range fromLease {
+			n.leaseEffect(e)
+		}
+		for _, e := range fromClaims {
+			n.claimsEffect(e)
+		}
+		if len(fromLease)+len(fromClaims) == 0 {
+			break
+		}
+	}
+	if at, ok := n.claims.NextWake(); ok {
+		n.wake("claims", at, func() { n.claimsStep(claims.Tick{}) })
+	}
+	if at, ok := n.lease.NextWake(); ok {
+		n.wake("lease", at, func() { n.leaseStep(lease.Tick{}) })
+	}
+}
+
+func (n *node) wake(core string, at time.Time, tick func()) {
+	if queued, ok := n.wakes[core]; ok && !queued.After(at) {
+		return
+	}
+	n.wakes[core] = at
+	boot := n.boots
+	delay := max(at.Sub(n.clock()), 0) + time.Millisecond
+	n.group.after(delay, func() {
+		if n.up && n.boots == boot && n.wakes[core].Equal(at) {
+			delete(n.wakes, core)
+			tick()
+		}
+	})
+}
+
+func (n *node) leaseEffect(e lease.Effect) {
+	g := n.group
+	switch e := e.(type) {
+	case lease.Propose:
+		g.send(n.name, voters, func() {
+			result := g.apply(e.Command)
+			g.send(voters, n.name, func() { n.leaseStep(lease.GrantAnswered{Sequence: e.Sequence, Result: result}) })
+		})
+	case lease.RequestPromise:
+		peer := g.node(e.Peer)
+		ask := lease.PromiseRequested{Peer: n.name, Epoch: e.Epoch, Duration: e.Duration, Sequence: e.Sequence}
+		g.send(n.name, e.Peer, func() { peer.leaseStep(ask) })
+	case lease.AnswerPromise:
+		peer := g.node(e.Peer)
+		answer := lease.PromiseAnswered{
+			Peer: n.name, Incarnation: n.process(), Sequence: e.Sequence, Granted: e.Granted, Epoch: e.Epoch,
+		}
+		g.send(n.name, e.Peer, func() { peer.leaseStep(answer) })
+	case lease.FetchView:
+		peer := g.node(e.Peer)
+		g.send(n.name, e.Peer, func() {
+			view := peer.view
+			g.send(e.Peer, n.name, func() { n.leaseStep(lease.ViewLearned{View: view}) })
+		})
+	case lease.MembersAgreed:
+		n.view = e.View
+		n.claims.Step(n.clock(), claims.MembersChanged{
+			Epoch: e.View.Epoch, Members: e.View.Names(), Rejoined: e.Rejoined, Left: e.View.Left, Token: e.View.Token,
+		})
+	case lease.LeaseChanged:
+		if e.Held && g.cut[pair(n.name, voters)] {
+			g.vouched++
+		}
+		n.claims.Step(n.clock(), claims.LeaseChanged(e))
+	case lease.Left:
+		n.crash()
+		g.after(g.upTo(5*time.Second), n.boot)
+	}
+}
+
+func (n *node) claimsEffect(e claims.Effect) {
+	g := n.group
+	switch e := e.(type) {
+	case claims.Admit:
+		g.checkAdmit(e.Job.ID, n.process())
+		n.decide(e.Job.ID)
+	case claims.Release:
+		g.checkRelease(e.JobID, n.process())
+		n.later(g.upTo(500*time.Millisecond), func() { n.finish(complete(e.JobID)) })
+	case claims.CancelJob:
+		if !g.released[e.JobID] {
+			n.finish(structs.Answer{JobID: e.JobID, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonCancelled})
+		}
+	case claims.SendCopy:
+		peer := g.node(e.Peer)
+		g.send(n.name, e.Peer, func() {
+			peer.claimsStep(claims.CopyReceived{Peer: n.name, Copy: e.Copy})
+			if e.Copy.Answer == nil && peer.up && !peer.frozen {
+				g.send(e.Peer, n.name, func() { n.claimsStep(claims.CopyAcked{Peer: e.Peer, JobID: e.Copy.JobID}) })
+			}
+		})
+	case claims.SendHandOver:
+		peer := g.node(e.Peer)
+		g.send(n.name, e.Peer, func() { peer.claimsStep(claims.HandOverReceived{Peer: n.name, HandOver: e.HandOver}) })
+	case claims.HandOverMatched:
+		peer := g.node(e.Peer)
+		g.send(n.name, e.Peer, func() { peer.claimsStep(claims.HandOverAcked{Peer: n.name, Token: e.Token}) })
+	case claims.HandedOver:
+		g.handOvers++
+		n.lease.Step(n.clock(), lease.Leave{Token: e.Token, Epoch: e.Epoch})
+	case claims.Forward:
+		delete(g.pending, requestKey{n.process(), e.Submit.Request})
+		g.submit(g.node(claims.Owner(n.view.Names(), claims.Partition(e.Submit.Job.ID))), e.Submit.Job)
+	case claims.Reply:
+		if e.Answer.Outcome == structs.OutcomeComplete {
+			g.completed++
+		}
+		g.checkReply(requestKey{n.process(), e.Request}, e.Answer)
+	}
+}
+
+func (n *node) later(d time.Duration, run func()) {
+	boot := n.boots
+	n.group.after(d, func() {
+		if n.boots == boot {
+			n.do(run)
+		}
+	})
+}
+
+// decide is the dispatch core: it refuses some jobs and queues the others.
+func (n *node) decide(id structs.JobID) {
+	n.jobs[id] = true
+	if n.group.rng.IntN(10) == 0 {
+		n.finish(structs.Answer{JobID: id, Outcome: structs.OutcomeNotRun, Reason: structs.ReasonQueueFull})
+		return
+	}
+	n.claims.Step(n.clock(), claims.JobAdmitted{JobID: id})
+}
+
+func (n *node) finish(a structs.Answer) {
+	if n.jobs[a.JobID] {
+		delete(n.jobs, a.JobID)
+		n.claims.Step(n.clock(), claims.JobFinished{Answer: a})
+		n.carryOut()
+	}
+}
+
+// submit brings a submission straight to one instance. The server gives each
+// request a number of its own, so that one number never comes twice.
+func (g *group) submit(n *node, job structs.Job) {
+	g.requests++
+	request := g.requests
+	g.after(g.upTo(10*time.Millisecond), func() { n.claimsStep(claims.Submit{Request: request, Job: job, Digest: 1}) })
+}
--- a/claims/ownership.go
+++ b/claims/ownership.go
@@ -12,28 +12,38 @@
 	if e.Epoch <= c.epoch && c.members != nil {
 		return
 	}
+	next := e.Epoch == c.epoch+1
 	c.epoch = e.Epoch
 	c.members = slices.Clone(e.Members)
 	slices.Sort(c.members)
 	c.members = slices.Compact(c.members)
 	for i := range c.partitions {
 		p := &c.partitions[i]
+		from := p.owner
 		p.owner, p.backup = topTwo(c.members, partitionKey(i))
-		p.ready = p.ready && p.owner == c.opts.Instance
+		p.ready = p.ready && p.owner == c.opts.Instance && !e.Rejoined
+		p.seal = nil
+		if s, ok := c.seals[i]; ok && next && e.Token != 0 && s.token == e.Token && from == e.Left {
+			p.seal = &s
+		}
 	}
+	clear(c.seals)
+	c.leaving = nil
 	c.retarget()
 	c.acquire()
 	c.releaseHeld()
+	c.unparkAll()
 }
 
 func (c *Core) leaseChanged(e LeaseChanged) {
 	c.lease = e
 	c.acquire()
 	c.releaseHeld()
+	c.unparkAll()
 }
 
 // acquire makes the owned partitions ready. IDs from before now may have been
-// admitted by an earlier owner.
+// admitted by an earlier owner, unless that owner has handed over all it knew.
 func (c *Core) acquire() {
 	if !c.leaseHeld() || c.lease.Epoch != 0 && !c.lease.Confirmed {
 		return
@@ -44,7 +54,12 @@
 			continue
 		}
 		p.ready = true
-		p.horizon = max(p.horizon, c.wall+horizonMargin.Milliseconds())
+		horizon := c.wall + horizonMargin.Milliseconds()
+		if p.seal != nil {
+			horizon = p.seal.horizon
+		}
+		p.horizon = max(p.horizon, horizon)
+		p.seal = nil
 	}
 }
 
--- a/claims/submit.go
+++ b/claims/submit.go
@@ -23,6 +23,10 @@
 // submitNew decides on an ID without a record.
 func (c *Core) submitNew(e Submit) {
 	id := e.Job.ID
+	if c.mustPark(id) {
+		c.park(e)
+		return
+	}
 	if a, ok := c.mayAdmit(id); !ok {
 		c.reply(e.Request, a)
 		return
@@ -33,6 +37,7 @@
 		return
 	}
 	c.add(r)
+	c.open++
 	c.emit(Admit{Job: e.Job})
 	c.attach(r, e.Request)
 }
@@ -43,6 +48,8 @@
 	p := &c.partitions[Partition(id)]
 	t := id.Time().UnixMilli()
 	switch {
+	case c.draining:
+		return unknown(id, structs.ReasonDraining, "this instance is about to stop"), false
 	case !c.mayAct(p):
 		return unknown(id, structs.ReasonNoLease, "this instance may not act as the job's owner"), false
 	case t <= c.wall-structs.AnswerRetention.Milliseconds() || t <= c.floor:
@@ -171,7 +178,11 @@
 		return
 	}
 	delete(c.requests, req)
+	c.unpark(id, req)
 	r := c.records[id]
+	if r == nil {
+		return
+	}
 	for i, w := range r.waiters {
 		if w == req {
 			r.waiters = append(r.waiters[:i], r.waiters[i+1:]...)
