--- /dev/null
+++ b/consensus/core.go
@@ -0,0 +1,259 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Core is one member of the replicated log. It is owned by one goroutine.
+type Core struct {
+	options Options
+	random  *rand.Rand
+	now     time.Time
+
+	role      Role
+	term      uint64
+	vote      string
+	leader    string
+	stalled   bool // the disk takes no writes
+	log       entryLog
+	snapshot  *Snapshot // newest; nil before the first
+	commit    uint64
+	applied   uint64 // last index handed out by Apply or InstallSnapshot
+	memberLog []placedMembers
+
+	electionDue   time.Time
+	leaderContact time.Time // last message from the leader of the term
+
+	// Candidate.
+	votes    map[string]bool
+	transfer bool // the leader asked for this election
+
+	// Leader.
+	leaderSince  time.Time
+	termStart    uint64 // index of the first entry of the term
+	progress     map[string]*progress
+	heartbeatDue time.Time
+	round        uint64
+	roundWanted  bool // a read waits for a round that has not begun
+	reads        []pendingRead
+	transferTo   string
+	transferDue  time.Time
+
+	persist persistState
+	held    []heldMessage
+	effects []Effect
+
+	snapshotAsked bool
+	statusDirty   bool
+}
+
+// New returns a core that continues from the persisted state. An instance
+// that is not a member yet starts from the zero Persisted and waits for a
+// leader. The caller steps a first Tick at once, which starts the timers.
+func New(options Options, persisted Persisted) *Core {
+	options = options.WithDefaults()
+	c := &Core{
+		options:   options,
+		random:    rand.New(rand.NewPCG(options.Seed, uint64(len(options.ID)))),
+		snapshot:  persisted.Snapshot,
+		memberLog: []placedMembers{{members: new(Members)}},
+	}
+	if s := persisted.Snapshot; s != nil {
+		c.log.prevIndex, c.log.prevTerm = s.Index, s.Term
+		c.memberLog[0] = placedMembers{index: s.Index, members: s.Members}
+		c.commit = s.Index
+		c.effects = append(c.effects, InstallSnapshot{Snapshot: s})
+	}
+	for _, entry := range persisted.Entries {
+		c.restoreEntry(entry)
+	}
+	if hard := persisted.Hard; hard != nil {
+		c.term, c.vote = hard.Term, hard.Vote
+		c.commit = max(c.commit, min(hard.Commit, c.log.lastIndex()))
+	}
+	if last := c.log.lastTerm(); last > c.term {
+		// The disk lost an unsynced hard state after the entries of its batch.
+		c.term, c.vote = last, ""
+	}
+	c.applied = c.log.prevIndex
+	c.persist.next = c.log.lastIndex() + 1
+	c.persist.stable = c.log.lastIndex()
+	c.statusDirty = true
+	return c
+}
+
+func (c *Core) restoreEntry(entry *Entry) {
+	if entry.Index <= c.log.prevIndex {
+		return
+	}
+	c.log.entries = append(c.log.entries, entry)
+	if entry.Kind == EntryKind_ENTRY_KIND_MEMBERS {
+		c.setMembers(entry.Index, entry.Members)
+	}
+}
+
+// Step takes one event. The time has to be monotonic.
+func (c *Core) Step(now time.Time, event Event) {
+	c.now = now
+	if c.electionDue.IsZero() {
+		c.resetElectionTimer()
+	}
+	switch e := event.(type) {
+	case Tick:
+		c.tick()
+	case Receive:
+		c.receive(e.Message)
+	case Propose:
+		c.propose(e)
+	case ProposeMembers:
+		c.proposeMembers(e)
+	case ReadBarrier:
+		c.readBarrier(e)
+	case TransferLeadership:
+		c.transferLeadership(e.To)
+	case Synced:
+		c.synced(e.Sequence)
+	case Form:
+		c.form(e)
+	case DiskStalled:
+		c.diskStalled()
+	case SnapshotTaken:
+		c.snapshotTaken(e)
+	}
+}
+
+// Ready returns the pending effects, in the order in which they have to be
+// begun, and clears them.
+func (c *Core) Ready() []Effect {
+	if c.role == Leader {
+		c.sendAppends()
+		c.answerReads()
+	}
+	c.emitPersist()
+	c.releaseMessages()
+	c.emitApply()
+	if c.statusDirty {
+		c.statusDirty = false
+		c.emit(StatusChanged{Status: c.Status()})
+	}
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
+
+// NextWake returns when the next Tick is due; zero means that none is.
+func (c *Core) NextWake() time.Time {
+	if c.role == Leader {
+		if c.transferTo != "" && c.transferDue.Before(c.heartbeatDue) {
+			return c.transferDue
+		}
+		return c.heartbeatDue
+	}
+	if !c.mayCampaign() {
+		return time.Time{}
+	}
+	return c.electionDue
+}
+
+// Status returns a description of the core.
+func (c *Core) Status() Status {
+	status := Status{
+		Role: c.role, Term: c.term, Leader: c.leader, Commit: c.commit,
+		Members: proto.CloneOf(c.members()),
+	}
+	if c.role == Leader {
+		status.LeaderSince = c.leaderSince
+		status.Established = c.commit >= c.termStart
+	}
+	return status
+}
+
+func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
+
+func (c *Core) refuse(ref Ref, err error) { c.emit(Refused{Ref: ref, Err: err}) }
+
+func (c *Core) tick() {
+	if c.role == Leader {
+		c.leaderTick()
+		return
+	}
+	if !c.now.Before(c.electionDue) && c.mayCampaign() {
+		c.becomePreCandidate()
+	}
+}
+
+func (c *Core) resetElectionTimer() {
+	spread := time.Duration(c.random.Int64N(int64(c.options.ElectionTimeout)))
+	c.electionDue = c.now.Add(c.options.ElectionTimeout + spread)
+}
+
+// mayCampaign reports whether this instance may try to become leader.
+func (c *Core) mayCampaign() bool { return !c.stalled && c.members().HasVoter(c.options.ID) }
+
+// receive handles one message. Except for pre-votes, a higher term ends what
+// this instance did in the lower one. Messages for an earlier incarnation of
+// this instance are dropped: this disk cannot answer for what that one held.
+func (c *Core) receive(m *Message) {
+	if m.To != c.options.ID {
+		return
+	}
+	if request := m.GetVoteRequest(); request != nil {
+		c.voteRequested(m, request)
+		return
+	}
+	if reply := m.GetVoteReply(); reply != nil {
+		c.voteReplied(m, reply)
+		return
+	}
+	fromLeader := m.GetAppendRequest() != nil || m.GetSnapshotRequest() != nil
+	if m.Term < c.term {
+		if fromLeader {
+			c.sendAck(m.From, &Message{Body: &Message_AppendReply{AppendReply: &AppendReply{Rejected: true}}})
+		}
+		return
+	}
+	if m.Term > c.term {
+		c.becomeFollower(m.Term, "")
+	}
+	if fromLeader {
+		c.followLeader(m.From)
+	}
+	switch body := m.Body.(type) {
+	case *Message_AppendRequest:
+		c.appendRequested(m.From, body.AppendRequest)
+	case *Message_AppendReply:
+		c.appendReplied(m.From, body.AppendReply)
+	case *Message_SnapshotRequest:
+		c.snapshotRequested(m.From, body.SnapshotRequest)
+	case *Message_SnapshotReply:
+		c.snapshotReplied(m.From, body.SnapshotReply)
+	case *Message_TimeoutNow:
+		c.timeoutNow(m.From)
+	}
+}
+
+// form writes the first entry of a new group. It is committed by definition,
+// since no other instance writes one.
+func (c *Core) form(e Form) {
+	if c.term != 0 || c.log.lastIndex() != 0 || !slices.Contains(e.Voters, c.options.ID) {
+		return
+	}
+	c.term, c.persist.hardDirty = 1, true
+	entry := &Entry{Index: 1, Term: 1, Kind: EntryKind_ENTRY_KIND_MEMBERS, Members: newMembers(e.Voters, nil)}
+	c.takeEntries([]*Entry{entry})
+	c.commit = 1
+	c.electionDue = c.now
+}
+
+// diskStalled gives up leadership: a leader that cannot write could only keep
+// others from acting.
+func (c *Core) diskStalled() {
+	c.stalled = true
+	if c.role != Follower {
+		c.becomeFollower(c.term, "")
+	}
+}
--- /dev/null
+++ b/consensus/errors.go
@@ -0,0 +1,32 @@
+package consensus
+
+import "errors"
+
+// Causes of a Refused effect.
+var (
+	ErrChangePending  = errors.New("another membership change is not committed yet")
+	ErrNotCaughtUp    = errors.New("learner has not caught up")
+	ErrNoSuchMember   = errors.New("no such member")
+	ErrMemberExists   = errors.New("already a member")
+	ErrLastVoter      = errors.New("the last voter cannot be removed")
+	ErrNotEstablished = errors.New("leader has not committed an entry of its term yet")
+	ErrOverloaded     = errors.New("too many uncommitted proposals")
+	ErrTransferring   = errors.New("leadership is being handed over")
+	ErrLeaderChanged  = errors.New("leadership was lost before the request completed")
+)
+
+// ErrDiskFull is what a storage's error wraps when the disk takes no more
+// writes at present and the same write may be tried again.
+var ErrDiskFull = errors.New("disk is full")
+
+// NotLeaderError refuses a request that only the leader can serve.
+type NotLeaderError struct {
+	Leader string // member ID; empty when unknown
+}
+
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader; no leader is known"
+	}
+	return "not the leader; leader is " + e.Leader
+}
--- /dev/null
+++ b/consensus/state.go
@@ -0,0 +1,43 @@
+package consensus
+
+import "time"
+
+// Role is what a member does in its current term.
+type Role int
+
+// Roles of a member. A learner is a follower that is not among the voters.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Persisted is the durable state with which a Core starts.
+type Persisted struct {
+	Hard     *HardState
+	Snapshot *Snapshot
+	Entries  []*Entry // consecutive; may begin at or before the snapshot's index
+}
+
+// Empty reports whether nothing was ever persisted.
+func (p Persisted) Empty() bool {
+	return p.Hard == nil && p.Snapshot == nil && len(p.Entries) == 0
+}
+
+// Status describes a Core.
+type Status struct {
+	Role    Role
+	Term    uint64
+	Leader  string // member ID; empty when unknown
+	Members *Members
+	Commit  uint64
+	// LeaderSince is when this instance became leader; zero otherwise.
+	LeaderSince time.Time
+	// Established says that the leader has committed an entry of its term.
+	Established bool
+}
