Add the runner that connects the core to disk, transport and state

Cause: the server needs a small API over the core: Propose, Receive, Status. Ruled out: member IDs without the disk's incarnation (an instance with a replaced disk would vote twice); every peer forming the group on its own (two of them could name different incarnations of a third), so only the first peer does so, after all others said that they have no log. Before: nothing runs the core. After: one goroutine each for core, disk, state machine and sending. Conclusion: a lost disk returns as a learner and is promoted by the leader.

--- /dev/null
+++ b/consensus/node/join.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hawthornshore.example/consensus"
+)
+
+// joiner finds or forms the group, and on the leader brings instances that ask
+// into the group. It belongs to the core loop.
+type joiner struct {
+	loop    *loop
+	due     time.Time
+	started bool              // this instance has a log
+	fresh   map[string]string // member IDs of peers without a log, by name
+	asked   map[string]string // leader: member IDs that ask to join, by name
+}
+
+func (j *joiner) tick() {
+	now := j.loop.now
+	if now.Before(j.due) {
+		return
+	}
+	j.due = now.Add(probeInterval)
+	status := j.loop.core.Status()
+	if status.Leader == "" {
+		j.probe()
+	}
+	if !j.started {
+		j.form()
+	}
+	if status.Role == consensus.Leader && status.Established {
+		j.repair(status.Members)
+		return
+	}
+	j.asked = nil
+}
+
+// probe asks all peers for the group.
+func (j *joiner) probe() {
+	for _, peer := range j.loop.node.options.Peers {
+		if peer != j.loop.node.options.Name {
+			j.send(peer, &consensus.Message{Body: &consensus.Message_ProbeRequest{
+				ProbeRequest: &consensus.ProbeRequest{},
+			}})
+		}
+	}
+}
+
+func (j *joiner) send(to string, message *consensus.Message) {
+	message.From, message.To = j.loop.node.id, to
+	j.loop.send(message)
+}
+
+// receive handles the messages that are not for the core.
+func (j *joiner) receive(message *consensus.Message) bool {
+	switch body := message.Body.(type) {
+	case *consensus.Message_ProbeRequest:
+		j.probed(message.From)
+	case *consensus.Message_ProbeReply:
+		name := NameOf(message.From)
+		delete(j.fresh, name)
+		if !body.ProbeReply.Started {
+			j.fresh[name] = message.From
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (j *joiner) probed(from string) {
+	members := j.loop.core.Status().Members
+	j.send(from, &consensus.Message{Body: &consensus.Message_ProbeReply{
+		ProbeReply: &consensus.ProbeReply{Started: j.started, Members: members},
+	}})
+	if slices.Contains(j.loop.node.options.Peers, NameOf(from)) && !members.Has(from) {
+		if j.asked == nil {
+			j.asked = map[string]string{}
+		}
+		j.asked[NameOf(from)] = from
+	}
+}
+
+// form begins a new group. Only the first of the peers does so, and only after
+// every other one has said that it has no log; two instances that formed
+// groups with different incarnations of a third would disagree.
+func (j *joiner) form() {
+	options := j.loop.node.options
+	if options.Peers[0] != options.Name {
+		return
+	}
+	voters := []string{j.loop.node.id}
+	for _, peer := range options.Peers[1:] {
+		id, ok := j.fresh[peer]
+		if !ok {
+			return
+		}
+		voters = append(voters, id)
+	}
+	j.loop.step(consensus.Form{Voters: voters})
+}
+
+// repair makes at most one membership change: it promotes a learner that has
+// caught up, after removing the voter that it replaces, or else adds a learner.
+func (j *joiner) repair(members *consensus.Members) {
+	for _, learner := range members.Learners {
+		old := voterByName(members, NameOf(learner))
+		switch {
+		case !slices.Contains(j.loop.node.options.Peers, NameOf(learner)):
+		case !j.loop.core.CaughtUp(learner):
+		case old == "":
+			j.change(consensus.PromoteLearner, learner)
+			return
+		case j.silent(old):
+			j.change(consensus.RemoveMember, old)
+			return
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(j.asked)) {
+		id := j.asked[name]
+		delete(j.asked, name)
+		if members.Has(id) {
+			continue
+		}
+		if stale := learnerByName(members, name); stale != "" {
+			j.change(consensus.RemoveMember, stale)
+			return
+		}
+		j.change(consensus.AddLearner, id)
+		return
+	}
+}
+
+// silent reports whether a member has not answered for an election timeout.
+func (j *joiner) silent(id string) bool {
+	return j.loop.now.Sub(j.loop.core.LastContact(id)) > j.loop.node.options.Core.ElectionTimeout
+}
+
+// change proposes a membership change. A refused one is tried again when it is
+// still needed at a later tick.
+func (j *joiner) change(kind consensus.ChangeKind, id string) {
+	j.loop.lastRef++
+	j.loop.step(consensus.ProposeMembers{
+		Ref:    j.loop.lastRef,
+		Change: consensus.MemberChange{Kind: kind, Member: id},
+	})
+}
+
+func voterByName(members *consensus.Members, name string) string {
+	for _, id := range members.GetVoters() {
+		if NameOf(id) == name {
+			return id
+		}
+	}
+	return ""
+}
+
+func learnerByName(members *consensus.Members, name string) string {
+	for _, id := range members.GetLearners() {
+		if NameOf(id) == name {
+			return id
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/consensus/node/node.go
@@ -0,0 +1,196 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"hawthornshore.example/consensus"
+)
+
+const (
+	inboxSize   = 1024 // messages that wait for the core loop; further ones are dropped
+	requestSize = 1024 // requests that wait for the core loop; further callers wait
+	outboxSize  = 1024 // messages that wait for the sender; further ones are dropped
+)
+
+// Node is a running member of the replicated log. Its methods may be called
+// from any goroutine.
+type Node struct {
+	options  Options
+	id       string
+	inbox    chan *consensus.Message
+	requests chan request
+	status   atomic.Pointer[Status]
+	group    *errgroup.Group
+	done     chan struct{} // closed when the node begins to stop
+}
+
+// request is an input of the core loop with a place for its result. The loop
+// calls begin.
+type request struct {
+	begin func(*loop, consensus.Ref)
+	reply chan result
+}
+
+type result struct {
+	answer []byte
+	err    error
+}
+
+// Start runs a node until the context ends or an error occurs. On return the
+// state machine may not have been restored yet.
+func Start(ctx context.Context, options Options) (*Node, error) {
+	if err := options.check(); err != nil {
+		return nil, errors.Annotate(err, "start node")
+	}
+	n := &Node{
+		options:  options,
+		id:       MemberID(options.Name, options.Incarnation),
+		inbox:    make(chan *consensus.Message, inboxSize),
+		requests: make(chan request, requestSize),
+		done:     make(chan struct{}),
+	}
+	n.status.Store(&Status{})
+	core := options.Core
+	core.ID = n.id
+	if core.Seed == 0 {
+		core.Seed = rand.Uint64()
+	}
+	n.options.Core = core.WithDefaults()
+	n.run(ctx)
+	return n, nil
+}
+
+func (n *Node) run(ctx context.Context) {
+	group, ctx := errgroup.WithContext(ctx)
+	n.group = group
+	l := newLoop(n)
+	group.Go(func() error { return l.run(ctx) })
+	group.Go(func() error { return writeDisk(ctx, n.options, l.persists, l.disk) })
+	group.Go(func() error { return newApplier(n.options, l.notes).run(ctx, l.applies) })
+	group.Go(func() error { return send(ctx, n.options.Transport, l.outbox) })
+	context.AfterFunc(ctx, func() { close(n.done) })
+}
+
+// Wait returns once all goroutines have ended. The error is nil if the node
+// was stopped by its context.
+func (n *Node) Wait() error {
+	err := n.group.Wait()
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// Receive takes a message from an instance. A message whose sender is not that
+// instance is dropped, as is one that finds the inbox full.
+func (n *Node) Receive(peer string, data []byte) {
+	message, err := consensus.Decode(data)
+	if err != nil {
+		n.options.report(errors.Annotatef(err, "decode message peer=%s", peer))
+		return
+	}
+	if NameOf(message.From) != peer {
+		n.options.report(errors.Errorf("message claims to be from %q peer=%s", message.From, peer))
+		return
+	}
+	select {
+	case n.inbox <- message:
+	default:
+	}
+}
+
+// Propose appends a command on the leader and returns the state machine's
+// answer. An error is a *NotLeaderError, ErrNotCommitted or one of the
+// consensus package's refusals when the command has no effect; otherwise the
+// outcome is unknown.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return n.ask(ctx, func(l *loop, ref consensus.Ref) {
+		l.step(consensus.Propose{Ref: ref, Data: command})
+	})
+}
+
+// ReadBarrier returns once the state machine of the leader holds every change
+// that was acknowledged before the call.
+func (n *Node) ReadBarrier(ctx context.Context) error {
+	_, err := n.ask(ctx, func(l *loop, ref consensus.Ref) {
+		l.step(consensus.ReadBarrier{Ref: ref})
+	})
+	return err
+}
+
+// RemoveMember removes the voter or learner of an instance on the leader.
+func (n *Node) RemoveMember(ctx context.Context, name string) error {
+	_, err := n.ask(ctx, func(l *loop, ref consensus.Ref) { l.remove(ref, name) })
+	return err
+}
+
+// TransferLeadership asks the leader to hand over to the voter of an
+// instance. It returns at once; OnStatus reports the outcome.
+func (n *Node) TransferLeadership(ctx context.Context, name string) error {
+	_, err := n.ask(ctx, func(l *loop, ref consensus.Ref) { l.transfer(ref, name) })
+	return err
+}
+
+func (n *Node) ask(ctx context.Context, begin func(*loop, consensus.Ref)) ([]byte, error) {
+	reply := make(chan result, 1)
+	select {
+	case n.requests <- request{begin: begin, reply: reply}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-n.done:
+		return nil, ErrStopped
+	}
+	select {
+	case r := <-reply:
+		return r.answer, r.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, ctx.Err())
+	case <-n.done:
+		return nil, ErrOutcomeUnknown
+	}
+}
+
+// Leader returns the name of the leader, or "" when none is known.
+func (n *Node) Leader() string { return n.status.Load().Leader }
+
+// Status returns a description of the node.
+func (n *Node) Status() Status { return *n.status.Load() }
+
+func (n *Node) publish(core consensus.Status) {
+	status := &Status{
+		Role: core.Role, Term: core.Term, Commit: core.Commit, Established: core.Established,
+		Voters:   namesOf(core.Members.GetVoters()),
+		Learners: namesOf(core.Members.GetLearners()),
+		Member:   core.Members.Has(n.id),
+	}
+	if core.Leader != "" {
+		status.Leader = NameOf(core.Leader)
+	}
+	n.status.Store(status)
+	if n.options.OnStatus != nil {
+		n.options.OnStatus(*status)
+	}
+}
+
+func (o *Options) report(err error) {
+	if o.OnError != nil {
+		o.OnError(err)
+	}
+}
+
+// memberByName returns the ID of an instance's voter, or else its learner.
+func memberByName(members *consensus.Members, name string) string {
+	for _, id := range slices.Concat(members.GetVoters(), members.GetLearners()) {
+		if NameOf(id) == name {
+			return id
+		}
+	}
+	return ""
+}
