Serve peers' requests by the age of their work

Cause: with 2 targets at one instance and 6 at the other after a loss, the lender preferred its own older queue to requests that had just arrived, although the work behind them had waited as long. 23% of the lost jobs were late there.

Change: RequestSlots and SlotsRequested gain Waited, the time for which the oldest task of the class has waited; the lender orders requests by it.

--- a/dispatch/borrow.go
+++ b/dispatch/borrow.go
@@ -113,6 +113,7 @@
 	r := RequestSlots{Peer: p.name, Class: cl.spec.Name, Count: count}
 	if j := cl.nextJob(); j != nil {
 		r.MinCores, r.MinMB = largest(j.spec.Tasks)
+		r.Waited = c.now - j.enqueuedAt
 	}
 	c.emit(r)
 }
--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -17,7 +17,7 @@
 	vclock  float64       // virtual time of the queue that was served last
 	current *job          // partly placed job whose other tasks go next
 	parked  []*job        // jobs that wait for the retry budget
-	asks    []*loanAsk    // requests of peers, oldest first
+	asks    []*loanAsk    // requests of peers, by the age of their work
 	held    []*heldLoan   // loans without a task, oldest first
 	waiting int           // waiting tasks of released jobs, parked ones excluded
 	pending int           // tasks of admitted jobs that are not released
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -115,6 +115,7 @@
 	Count    int
 	MinCores float64
 	MinMB    int64
+	Waited   time.Duration // how long the oldest task has waited
 }
 
 // SlotsGranted brings slots that a peer lent. An empty list means none.
@@ -209,6 +210,7 @@
 	Count    int
 	MinCores float64 // least size of the slots
 	MinMB    int64
+	Waited   time.Duration // how long the oldest task has waited
 }
 
 // GrantSlots answers a peer's request; an empty list means none.
--- a/dispatch/lend.go
+++ b/dispatch/lend.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"hawthornshore.example/structs"
@@ -25,6 +26,7 @@
 	count   int
 	task    structs.Task // carries the least size of the slots
 	at      time.Duration
+	since   time.Duration // when the peer's task began to wait
 	granted []SlotLoan
 }
 
@@ -41,9 +43,13 @@
 		c.emit(GrantSlots{Peer: e.Peer, Class: e.Class})
 		return
 	}
-	a := &loanAsk{peer: e.Peer, class: cl, count: e.Count, at: c.now}
+	a := &loanAsk{peer: e.Peer, class: cl, count: e.Count, at: c.now, since: c.now - e.Waited}
 	a.task.DeclaredCores, a.task.DeclaredMB = e.MinCores, e.MinMB
-	cl.asks = append(cl.asks, a)
+	i := len(cl.asks)
+	for i > 0 && cl.asks[i-1].since > a.since {
+		i--
+	}
+	cl.asks = slices.Insert(cl.asks, i, a)
 	c.asks++
 }
 
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -107,7 +107,7 @@
 	if c.leaseHeld {
 		j = cl.nextJob()
 	}
-	if len(cl.asks) > 0 && (j == nil || cl.asks[0].at < j.enqueuedAt) {
+	if len(cl.asks) > 0 && (j == nil || cl.asks[0].since < j.enqueuedAt) {
 		if !c.lend(cl, cl.asks[0]) {
 			cl.stuck = true
 		}
--- a/experiment/node.go
+++ b/experiment/node.go
@@ -59,7 +59,7 @@
 		r.after(r.link(), func() { r.cancelAttempt(e.Attempt, e.Target) })
 	case dispatch.RequestSlots:
 		n.send(e.Peer, dispatch.SlotsRequested{
-			Peer: n.name, Class: e.Class, Count: e.Count, MinCores: e.MinCores, MinMB: e.MinMB,
+			Peer: n.name, Class: e.Class, Count: e.Count, MinCores: e.MinCores, MinMB: e.MinMB, Waited: e.Waited,
 		})
 		r.result.Messages.Requests++
 	case dispatch.GrantSlots:
