Predict waits in a burst by the backlog before the job

Cause: the demo's first jobs were refused as wait_exceeds_deadline with 10 s to go and slots free soon: while higher classes had a burst, the prediction took their present demand as lasting, gave the lower class no slots and so an endless wait. Conclusion: kept; the backlog formula is used only while the offered work is below the capacity.

--- a/dispatch/allocate.go
+++ b/dispatch/allocate.go
@@ -38,25 +38,42 @@
 	return reserved
 }
 
+// load is what the allocation assumes that a class asks for, in slots.
+type load func(cl *class) float64
+
+// presentLoad is what the class asks for now, or at least usually asks for:
+// waits last longer than the pauses between bursts.
+func presentLoad(cl *class) float64 {
+	return float64(max(cl.running+cl.queued(), cl.baseline.usual))
+}
+
+// usualLoad is what the class asks for on average.
+func usualLoad(cl *class) float64 { return float64(cl.baseline.usual) }
+
 // entitlement returns the slots that the two passes give to a class out of
-// capacity when it demands the given number and the others what they have. The
+// capacity when it demands the given number and the others their load. The
 // other classes' unused baselines are kept from a flooding class.
-func (c *Core) entitlement(of *class, demand, capacity float64) float64 {
+func (c *Core) entitlement(of *class, demand, capacity float64, others load) float64 {
+	asked := func(cl *class) float64 {
+		if cl == of {
+			return demand
+		}
+		return others(cl)
+	}
 	left := capacity
 	granted := 0.0
 	for _, cl := range c.ranked {
-		d := cl.demand(of, demand)
-		g := min(d, float64(cl.baseline.protected()), left)
+		g := min(asked(cl), float64(cl.baseline.protected()), left)
 		left -= g
 		if cl == of {
 			granted = g
 		}
 	}
 	if of.baseline.flooding {
-		left -= min(left, c.unusedBaselines(of))
+		left -= min(left, c.unusedBaselines(of, others))
 	}
 	for _, cl := range c.ranked {
-		d := cl.demand(of, demand)
+		d := asked(cl)
 		if d <= float64(cl.baseline.protected()) {
 			continue
 		}
@@ -69,23 +86,27 @@
 	return granted
 }
 
-// unusedBaselines returns the protected slots that the demand of the other
+// unusedBaselines returns the protected slots that the load of the other
 // classes does not reach.
-func (c *Core) unusedBaselines(of *class) float64 {
+func (c *Core) unusedBaselines(of *class, others load) float64 {
 	sum := 0.0
 	for _, cl := range c.ranked {
 		if cl != of {
-			sum += max(0, float64(cl.baseline.protected())-cl.demand(of, 0))
+			sum += max(0, float64(cl.baseline.protected())-others(cl))
 		}
 	}
 	return sum
 }
 
-// demand returns what the class asks for, or at least usually asks for: waits
-// last longer than the pauses between bursts.
-func (cl *class) demand(of *class, demand float64) float64 {
-	if cl == of {
-		return demand
+// backlogBefore returns the tasks beyond their usual number that classes of the
+// same or a higher rank run or queue.
+func (c *Core) backlogBefore(of *class) float64 {
+	sum := 0.0
+	for _, cl := range c.ranked {
+		if cl == of {
+			break
+		}
+		sum += max(0, float64(cl.running+cl.queued()-cl.baseline.usual))
 	}
-	return float64(max(cl.running+cl.queued(), cl.baseline.usual))
+	return sum
 }
--- a/dispatch/inspect.go
+++ b/dispatch/inspect.go
@@ -12,6 +12,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-// FreeSlots returns the number of free slots on usable targets.
-func (c *Core) FreeSlots() int { return c.fleet.free }
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -44,13 +44,18 @@
 	return time.Duration(total * float64(time.Millisecond)), reason
 }
 
-// waitSlots returns the wait of the job's last task in mean run times. A tenant
-// waits no longer than its class, and no longer than its weight demands.
+// waitSlots returns the wait of the job's last task in mean run times. A class
+// waits as if the present demand of the others lasted, or, in a burst, until the
+// backlog of the classes before it is worked off. A tenant waits no longer than
+// its class, and no longer than its weight demands.
 func (c *Core) waitSlots(j *job, n float64) float64 {
 	cl := j.class
 	demand := float64(cl.running+cl.queued()) + n
-	slots := c.entitlement(cl, demand, c.capacity())
+	slots := c.entitlement(cl, demand, c.capacity(), presentLoad)
 	wait := excess(demand, slots)
+	if wait > 0 && c.offeredLoad() < c.capacity() {
+		wait = min(wait, c.waitForBacklog(cl, demand))
+	}
 	if wait == 0 {
 		return 0
 	}
@@ -66,6 +71,25 @@
 	return min(wait, excess(own, slots*j.tenant.weight()/weights))
 }
 
+// offeredLoad returns the work that callers offer to this instance, refused work
+// included, in slots. Below the capacity every backlog is a burst that ends.
+func (c *Core) offeredLoad() float64 {
+	sum := 0.0
+	for _, cl := range c.ranked {
+		sum += cl.baseline.offered
+	}
+	return sum
+}
+
+// waitForBacklog returns the wait, in mean run times, if the class comes after
+// all the backlog of the classes before it and those ask for their usual load
+// from then on.
+func (c *Core) waitForBacklog(cl *class, demand float64) float64 {
+	backlog := c.backlogBefore(cl)
+	slots := c.entitlement(cl, demand+backlog, c.capacity(), usualLoad)
+	return excess(demand+backlog, slots)
+}
+
 // excess returns how many rounds of the slots the demand beyond them takes.
 func excess(demand, slots float64) float64 {
 	if demand <= slots {
--- a/server/convert.go
+++ b/server/convert.go
@@ -115,6 +115,8 @@
 		JobId:          c.JobID[:],
 		Digest:         uint64(c.Digest),
 		DeadlineUnixMs: c.DeadlineUnixMS,
+		Origin:         c.Origin,
+		AnyDigest:      c.AnyDigest,
 	}
 	if c.Answer != nil {
 		message.Answer = answerToWire(c.Answer)
@@ -131,6 +133,8 @@
 		JobID:          id,
 		Digest:         claims.Digest(message.GetDigest()),
 		DeadlineUnixMS: message.GetDeadlineUnixMs(),
+		Origin:         message.GetOrigin(),
+		AnyDigest:      message.GetAnyDigest(),
 	}
 	if message.GetAnswer() != nil {
 		answer, err := answerFromWire(message.GetAnswer())
@@ -178,14 +182,16 @@
 
 // loansToWire sends remaining validity instead of a time, so that the clocks of
 // the two instances need not agree.
-func loansToWire(now time.Time, loans []dispatch.SlotLoan) *wire.SlotGrant {
-	grant := &wire.SlotGrant{}
-	for _, loan := range loans {
+func loansToWire(now time.Time, e *dispatch.GrantSlots) *wire.SlotGrant {
+	grant := &wire.SlotGrant{Class: e.Class}
+	for _, loan := range e.Slots {
 		grant.Slots = append(grant.Slots, &wire.SlotLoan{
 			TargetId:    loan.Target.TargetID,
 			Incarnation: loan.Target.Incarnation,
 			Address:     loan.Target.Address,
 			ValidMs:     loan.Expires.Sub(now).Milliseconds(),
+			Cores:       loan.Cores,
+			Mb:          loan.MB,
 		})
 	}
 	return grant
@@ -201,6 +207,8 @@
 				Address:     slot.GetAddress(),
 			},
 			Expires: now.Add(time.Duration(slot.GetValidMs()) * time.Millisecond),
+			Cores:   slot.GetCores(),
+			MB:      slot.GetMb(),
 		}
 	}
 	return loans
--- a/server/effects.go
+++ b/server/effects.go
@@ -42,10 +42,10 @@
 	case dispatch.RequestSlots:
 		s.metrics.slotRequests.Inc()
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotRequest{SlotRequest: &wire.SlotRequest{
-			Class: e.Class, Count: int32(e.Count),
+			Class: e.Class, Count: int32(e.Count), MinCores: e.MinCores, MinMb: e.MinMB,
 		}}})
 	case dispatch.GrantSlots:
-		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotGrant{SlotGrant: loansToWire(now, e.Slots)}})
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotGrant{SlotGrant: loansToWire(now, &e)}})
 	case dispatch.ReturnSlot:
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotReturn{SlotReturn: &wire.SlotReturn{
 			TargetId: e.TargetID, Class: e.Class, Failed: e.Failed, RunMs: e.RunMS,
@@ -69,7 +69,8 @@
 
 // settled publishes the figures that heartbeats carry.
 func (s *Server) settled(core *dispatch.Core) {
-	s.freeSlots.Store(int32(core.FreeSlots()))
+	offer := core.Offer()
+	s.offer.Store(&offer)
 }
 
 // send queues a one-way message to a peer. A message that cannot be queued is
--- a/server/messages.go
+++ b/server/messages.go
@@ -25,9 +25,12 @@
 	case *wire.Envelope_SlotRequest:
 		s.post(input{dispatch: dispatch.SlotsRequested{
 			Peer: peer, Class: body.SlotRequest.GetClass(), Count: int(body.SlotRequest.GetCount()),
+			MinCores: body.SlotRequest.GetMinCores(), MinMB: body.SlotRequest.GetMinMb(),
 		}})
 	case *wire.Envelope_SlotGrant:
-		s.post(input{dispatch: dispatch.SlotsGranted{Peer: peer, Slots: loansFromWire(time.Now(), body.SlotGrant)}})
+		s.post(input{dispatch: dispatch.SlotsGranted{
+			Peer: peer, Class: body.SlotGrant.GetClass(), Slots: loansFromWire(time.Now(), body.SlotGrant),
+		}})
 	case *wire.Envelope_SlotReturn:
 		s.post(input{dispatch: dispatch.SlotReturned{
 			Peer: peer, TargetID: body.SlotReturn.GetTargetId(), Class: body.SlotReturn.GetClass(),
@@ -72,17 +75,29 @@
 
 // Heartbeat returns the body of the next heartbeat on a link.
 func (s *Server) Heartbeat() *wire.Heartbeat {
-	return &wire.Heartbeat{
+	beat := &wire.Heartbeat{
 		ClockUnixMs:   time.Now().UnixMilli(),
 		ConfigVersion: s.options.Config.Version,
-		FreeSlots:     s.freeSlots.Load(),
 		Draining:      s.draining.Load(),
 	}
+	if offer := s.offer.Load(); offer != nil {
+		beat.FreeSlots = int32(offer.Free)
+		beat.TotalSlots = int32(offer.Total)
+		beat.MaxCores = offer.MaxCores
+		beat.MaxMb = offer.MaxMB
+		beat.Targets = int32(offer.Targets)
+		beat.EjectedTargets = int32(offer.Ejected)
+	}
+	return beat
 }
 
 func (s *Server) handleHeartbeat(peer string, beat *wire.Heartbeat) {
 	if s.places.isNeighbour(peer) {
-		s.post(input{dispatch: dispatch.PeerSlots{Peer: peer, Free: int(beat.GetFreeSlots())}})
+		s.post(input{dispatch: dispatch.PeerSlots{
+			Peer: peer, Free: int(beat.GetFreeSlots()), Total: int(beat.GetTotalSlots()),
+			MaxCores: beat.GetMaxCores(), MaxMB: beat.GetMaxMb(),
+			Targets: int(beat.GetTargets()), Ejected: int(beat.GetEjectedTargets()),
+		}})
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -34,7 +34,7 @@
 
 	started   time.Time
 	draining  atomic.Bool
-	freeSlots atomic.Int32
+	offer     atomic.Pointer[dispatch.Offer]
 	attempts  inflight // attempts being followed
 	requests  inflight // callers' requests in flight
 	attemptOf context.Context
