--- a/server/places.go
+++ b/server/places.go
@@ -80,13 +80,6 @@
 	p.live[instance] = live
 }
 
-// isLive reports whether there is a link to an instance.
-func (p *places) isLive(instance string) bool {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return p.live[instance]
-}
-
 // isNeighbour reports whether an instance serves the own data centre.
 func (p *places) isNeighbour(instance string) bool {
 	p.mu.RLock()
