Replicate claims/lease.Agreement instead of a second member protocol

Cause: sysstate and claims/lease both had commands for members and leases, with different rules; only one may decide who owns a job ID. Ruled out: keeping sysstate's commands (their owners' side, promises and hand-over were not written, while lease.Agreement has random schedules with its owners' side in the claims module). Before: two protocols. After: one LeaseCommand; sysstate keeps configuration, operation IDs and voters.

--- a/consensus/sysstate/machine.go
+++ b/consensus/sysstate/machine.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+
+	"hawthornshore.example/claims/lease"
 )
 
 const (
@@ -15,8 +17,6 @@
 	MaxOperations = 1024
 	// MaxConfigBytes bounds the encoded system configuration, in bytes.
 	MaxConfigBytes = 4 << 20
-	// MaxLease bounds the duration of an ownership lease.
-	MaxLease = time.Minute
 )
 
 // Context is what the log says about the entry that carries a command.
@@ -33,8 +33,8 @@
 	history    []*Change
 	operations []*Operation
 	byID       map[string]*Operation
-	centres    map[string]*DataCentre
-	voters     map[string]string // member ID by instance
+	centres    map[string]*lease.Agreement // by data centre
+	voters     map[string]string           // member ID by instance
 }
 
 // NewMachine returns a machine with version 0 and an empty configuration.
@@ -42,7 +42,7 @@
 	return &Machine{
 		config:  []byte(emptyConfig),
 		byID:    map[string]*Operation{},
-		centres: map[string]*DataCentre{},
+		centres: map[string]*lease.Agreement{},
 		voters:  map[string]string{},
 	}
 }
@@ -70,14 +70,8 @@
 	switch body := command.Body.(type) {
 	case *Command_ApplyConfig:
 		return m.applyConfig(ctx, command.OperationId, body.ApplyConfig)
-	case *Command_JoinMember:
-		return m.joinMember(ctx, body.JoinMember)
-	case *Command_LeaveMember:
-		return m.leaveMember(ctx, body.LeaveMember)
-	case *Command_RenewLease:
-		return m.renewLease(ctx, body.RenewLease)
-	case *Command_TakeOver:
-		return m.takeOver(ctx, body.TakeOver)
+	case *Command_Lease:
+		return m.changeLease(body.Lease)
 	case *Command_MarkVoter:
 		return m.markVoter(body.MarkVoter)
 	}
--- a/consensus/sysstate/snapshot.go
+++ b/consensus/sysstate/snapshot.go
@@ -15,7 +15,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	state := &State{Version: m.version, Config: m.config, History: m.history, Operations: m.operations}
 	for _, name := range slices.Sorted(maps.Keys(m.centres)) {
-		state.DataCentres = append(state.DataCentres, &NamedDataCentre{Name: name, DataCentre: m.centres[name]})
+		state.DataCentres = append(state.DataCentres, &NamedDataCentre{Name: name, Agreement: agreementToProto(m.centres[name])})
 	}
 	for _, instance := range slices.Sorted(maps.Keys(m.voters)) {
 		state.Voters = append(state.Voters, &Voter{Instance: instance, MemberId: m.voters[instance]})
@@ -44,7 +44,7 @@
 		restored.remember(operation)
 	}
 	for _, centre := range state.DataCentres {
-		restored.centres[centre.Name] = centre.DataCentre
+		restored.centres[centre.Name] = agreementFromProto(centre.Agreement)
 	}
 	for _, voter := range state.Voters {
 		restored.voters[voter.Instance] = voter.MemberId
--- a/consensus/sysstate/store.go
+++ b/consensus/sysstate/store.go
@@ -2,12 +2,12 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"hawthornshore.example/claims/lease"
 	"hawthornshore.example/consensus"
 	"hawthornshore.example/structs"
 )
@@ -15,8 +15,8 @@
 // View is a copy of the parts of the state that instances act on.
 type View struct {
 	Config      structs.SystemConfig
-	DataCentres map[string]*DataCentre
-	Voters      map[string]string // member ID by instance
+	DataCentres map[string]lease.View // by data centre
+	Voters      map[string]string     // member ID by instance
 }
 
 // Store shares a Machine between the goroutine that applies entries and
@@ -66,21 +66,15 @@
 	return s.machine.History()
 }
 
-// DataCentre returns the members of a data centre; empty when it has none.
-func (s *Store) DataCentre(name string) *DataCentre {
+// Agreements returns copies of the agreements on members, by data centre.
+func (s *Store) Agreements() map[string]*lease.Agreement {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if centre := s.machine.centres[name]; centre != nil {
-		return proto.CloneOf(centre)
+	copies := make(map[string]*lease.Agreement, len(s.machine.centres))
+	for name, agreement := range s.machine.centres {
+		copies[name] = agreementFromProto(agreementToProto(agreement))
 	}
-	return new(DataCentre)
-}
-
-// DataCentreNames returns the names of the data centres, sorted.
-func (s *Store) DataCentreNames() []string {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return slices.Sorted(maps.Keys(s.machine.centres))
+	return copies
 }
 
 // View returns a copy of the state.
@@ -91,9 +85,9 @@
 	if err != nil {
 		return View{}, err
 	}
-	view := View{Config: config, DataCentres: map[string]*DataCentre{}, Voters: maps.Clone(s.machine.voters)}
+	view := View{Config: config, DataCentres: map[string]lease.View{}, Voters: maps.Clone(s.machine.voters)}
 	for name, centre := range s.machine.centres {
-		view.DataCentres[name] = proto.CloneOf(centre)
+		view.DataCentres[name] = centre.View()
 	}
 	return view, nil
 }
