Let a voter campaign while its removal is not committed

Ruled out: refusing to remove the leader (the operator would have to hand over first, and the same happens to a leader that loses a transfer); using only committed member lists (two majorities that do not overlap become possible). Conclusion: such an instance campaigns without counting its own vote.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -202,8 +202,23 @@
 	c.electionDue = c.now.Add(c.options.ElectionTimeout + spread)
 }
 
-// mayCampaign reports whether this instance may try to become leader.
-func (c *Core) mayCampaign() bool { return !c.stalled && c.members().HasVoter(c.options.ID) }
+// mayCampaign reports whether this instance may try to become leader. A voter
+// whose removal is not committed may: it can be the only one with the entries
+// that the others need, and they do not vote without it.
+func (c *Core) mayCampaign() bool {
+	if c.stalled {
+		return false
+	}
+	for i := len(c.memberLog) - 1; i >= 0; i-- {
+		if c.memberLog[i].members.HasVoter(c.options.ID) {
+			return true
+		}
+		if c.memberLog[i].index <= c.commit {
+			return false
+		}
+	}
+	return false
+}
 
 // receive handles one message. Except for pre-votes, a higher term ends what
 // this instance did in the lower one. Messages for an earlier incarnation of
--- a/consensus/rules_test.go
+++ b/consensus/rules_test.go
@@ -233,6 +233,15 @@
 		Expect(s.change(consensus.PromoteLearner, "d")).To(Succeed())
 	})
 
+	It("campaigns while its own removal is not committed", func() {
+		s := newSingle(1, members(abc, nil), members([]string{"b", "c"}, nil))
+		s.wait(3 * timeout)
+		Expect(s.core.Status().Role).To(Equal(consensus.PreCandidate),
+			"the others need the entries that only this instance has")
+		s.get("b", voteReply(2, true, true))
+		Expect(s.core.Status().Role).To(Equal(consensus.PreCandidate), "it counted its own vote")
+	})
+
 	It("ignores messages for an earlier incarnation of its instance", func() {
 		s := newSingle(1, members(abc, nil))
 		request := heartbeat(7)
