--- a/storage/disk.go
+++ b/storage/disk.go
@@ -56,6 +56,7 @@
 	pending  segment   // the active segment once buffer is synced
 	hard     *consensus.HardState
 	saved    uint64 // sequence of the last effect that is durable
+	void     bool   // the log has to be reset before further records
 	broken   error
 }
 
@@ -121,7 +122,7 @@
 	default:
 		d.verdict = Known
 	}
-	d.hard = l.persisted.Hard
+	d.hard, d.void = l.persisted.Hard, l.void
 	return l.persisted, d.resume(l)
 }
 
--- /dev/null
+++ b/storage/fakefs_test.go
@@ -0,0 +1,181 @@
+package storage_test
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"syscall"
+
+	"hawthornshore.example/storage"
+)
+
+var errPower = errors.New("power is off")
+
+// fakeFS is a folder in memory. A crash loses what was not synced: a part of
+// the bytes of files, and a part of the changes to the folder.
+type fakeFS struct {
+	random  *rand.Rand
+	files   map[string]*fakeFile
+	durable map[string]*fakeFile
+	changes []func(map[string]*fakeFile)
+	locked  bool
+	// operations counts calls; from powerOff on all of them fail.
+	operations, powerOff int
+	full                 float64 // probability that a call finds the disk full
+}
+
+type fakeFile struct {
+	fs     *fakeFS
+	data   []byte
+	synced int
+}
+
+func newFakeFS(seed uint64) *fakeFS {
+	return &fakeFS{
+		random: rand.New(rand.NewPCG(seed, 3)), powerOff: -1,
+		files: map[string]*fakeFile{}, durable: map[string]*fakeFile{},
+	}
+}
+
+func (f *fakeFS) call() error {
+	f.operations++
+	if f.powerOff >= 0 && f.operations > f.powerOff {
+		return errPower
+	}
+	return nil
+}
+
+func (f *fakeFS) space() error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	if f.random.Float64() < f.full {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+// crash loses unsynced changes and turns the power on again.
+func (f *fakeFS) crash() {
+	for _, change := range f.changes[:f.random.IntN(len(f.changes)+1)] {
+		change(f.durable)
+	}
+	f.changes, f.locked, f.powerOff = nil, false, -1
+	f.files = maps.Clone(f.durable)
+	for _, file := range f.files {
+		keep := file.synced + f.random.IntN(len(file.data)-file.synced+1)
+		lost := len(file.data) - keep
+		file.data = file.data[:keep:keep]
+		if f.random.IntN(3) == 0 {
+			file.data = append(file.data, make([]byte, f.random.IntN(lost+1))...)
+		}
+		file.synced = len(file.data)
+	}
+}
+
+func (f *fakeFS) change(do func(map[string]*fakeFile)) {
+	do(f.files)
+	f.changes = append(f.changes, do)
+}
+
+func (f *fakeFS) List() ([]string, error) {
+	return slices.Sorted(maps.Keys(f.files)), f.call()
+}
+
+func (f *fakeFS) Read(name string) ([]byte, error) {
+	if f.files[name] == nil {
+		return nil, os.ErrNotExist
+	}
+	return f.files[name].data, f.call()
+}
+
+func (f *fakeFS) Create(name string) (storage.File, error) {
+	if err := f.space(); err != nil {
+		return nil, err
+	}
+	file := &fakeFile{fs: f}
+	f.change(func(files map[string]*fakeFile) { files[name] = file })
+	return file, nil
+}
+
+func (f *fakeFS) Append(name string) (storage.File, error) { return f.files[name], f.call() }
+
+func (f *fakeFS) Rename(oldName, newName string) error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	f.change(func(files map[string]*fakeFile) {
+		files[newName] = files[oldName]
+		delete(files, oldName)
+	})
+	return nil
+}
+
+func (f *fakeFS) Remove(name string) error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	f.change(func(files map[string]*fakeFile) { delete(files, name) })
+	return nil
+}
+
+func (f *fakeFS) SetAside(_ string, names []string) error {
+	for _, name := range names {
+		if err := f.Remove(name); err != nil {
+			return err
+		}
+	}
+	return f.SyncFolder()
+}
+
+func (f *fakeFS) SyncFolder() error {
+	if err := f.call(); err != nil {
+		return err
+	}
+	f.changes, f.durable = nil, maps.Clone(f.files)
+	return nil
+}
+
+func (f *fakeFS) Lock(string) (io.Closer, error) {
+	if f.locked {
+		return nil, &storage.LockedError{Folder: "fake"}
+	}
+	f.locked = true
+	return f, nil
+}
+
+func (f *fakeFS) Close() error {
+	f.locked = false
+	return nil
+}
+
+func (f *fakeFile) Write(data []byte) (int, error) {
+	err := f.fs.space()
+	if err != nil {
+		data = data[:f.fs.random.IntN(len(data)+1)]
+	}
+	f.data = append(f.data, data...)
+	return len(data), err
+}
+
+func (f *fakeFile) Sync() error {
+	if err := f.fs.space(); err != nil {
+		return err
+	}
+	f.synced = len(f.data)
+	return nil
+}
+
+func (f *fakeFile) Truncate(size int64) error {
+	if err := f.fs.call(); err != nil {
+		return err
+	}
+	f.data = f.data[:size:size]
+	f.synced = min(f.synced, len(f.data))
+	return nil
+}
+
+func (f *fakeFile) Close() error { return nil }
--- a/storage/group_test.go
+++ b/storage/group_test.go
@@ -164,7 +164,7 @@
 	var version uint64
 	Eventually(func(ok Gomega) {
 		_, leader := g.leader()
-		answer, err := apply(leader, leader.store.Version(), id)
+		answer, err := applyConfig(leader, leader.store.Version(), id)
 		ok.Expect(err).NotTo(HaveOccurred())
 		ok.Expect(answer.Status).To(Equal(sysstate.Status_STATUS_OK), answer.Message)
 		version = answer.Version
@@ -172,7 +172,7 @@
 	return version
 }
 
-func apply(i *instance, base uint64, id string) (*sysstate.Answer, error) {
+func applyConfig(i *instance, base uint64, id string) (*sysstate.Answer, error) {
 	command, err := sysstate.EncodeCommand(&sysstate.Command{
 		OperationId: id,
 		Body: &sysstate.Command_ApplyConfig{ApplyConfig: &sysstate.ApplyConfig{
@@ -229,10 +229,10 @@
 		Expect(g.change("after")).To(Equal(uint64(501)))
 		g.expectVersion(501)
 		_, leader := g.leader()
-		answer, err := apply(leader, 77, "op-499")
+		answer, err := applyConfig(leader, 77, "op-499")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Status).To(Equal(sysstate.Status_STATUS_REUSED_OPERATION_ID))
-		answer, err = apply(leader, 499, "op-499")
+		answer, err = applyConfig(leader, 499, "op-499")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Repeated).To(BeTrue(), "a resend must get the first answer")
 		Expect(answer.Version).To(Equal(uint64(500)))
@@ -280,7 +280,7 @@
 		leader.fs.setFull(true)
 		go func() {
 			defer GinkgoRecover()
-			apply(leader, 1, "on full disk")
+			applyConfig(leader, 1, "on full disk")
 		}()
 		Eventually(func() string {
 			next, _ := g.leader()
--- a/storage/load.go
+++ b/storage/load.go
@@ -60,6 +60,7 @@
 	persisted   consensus.Persisted
 	torn        bool // the last segment ends in a torn record
 	foreign     bool // a segment belongs to another incarnation
+	void        bool // the log does not contain the snapshot's place
 }
 
 func (l *loader) load(names []string) error {
@@ -188,7 +189,8 @@
 	base := uint64(0)
 	if p.Snapshot != nil {
 		base = p.Snapshot.Index
-		p.Entries = entriesAfter(p.Snapshot, p.Entries)
+		l.void = !contains(p.Entries, p.Snapshot)
+		p.Entries = entriesAfter(p.Snapshot, p.Entries, l.void)
 	}
 	last := base
 	if len(p.Entries) > 0 {
@@ -213,17 +215,27 @@
 	return err
 }
 
-// entriesAfter returns the entries after a snapshot. They are void when the
-// log does not contain the snapshot's place: the snapshot came from a leader,
+// contains reports whether a log agrees with a snapshot at the snapshot's
+// place, or begins right after it. Otherwise the snapshot came from a leader,
 // and the crash was before the log was reset.
-func entriesAfter(snapshot *consensus.Snapshot, entries []*consensus.Entry) []*consensus.Entry {
-	for i, entry := range entries {
-		if entry.Index == snapshot.Index && entry.Term != snapshot.Term {
-			return nil
-		}
-		if entry.Index > snapshot.Index {
-			return entries[i:]
-		}
+func contains(entries []*consensus.Entry, snapshot *consensus.Snapshot) bool {
+	if len(entries) == 0 {
+		return true
 	}
-	return nil
+	first := entries[0].Index
+	if first > snapshot.Index {
+		return true
+	}
+	at := snapshot.Index - first
+	return at < uint64(len(entries)) && entries[at].Term == snapshot.Term
+}
+
+func entriesAfter(snapshot *consensus.Snapshot, entries []*consensus.Entry, void bool) []*consensus.Entry {
+	if void {
+		return nil
+	}
+	if len(entries) == 0 || entries[0].Index > snapshot.Index {
+		return entries
+	}
+	return entries[snapshot.Index-entries[0].Index+1:]
 }
--- a/storage/save.go
+++ b/storage/save.go
@@ -98,7 +98,16 @@
 		d.identity = started
 	}
 	if d.active == nil {
-		return d.rotate()
+		if err := d.rotate(); err != nil {
+			return err
+		}
+	}
+	if d.void {
+		d.buffer = appendRecord(d.buffer, record{kind: kindReset})
+		if err := d.flush(); err != nil {
+			return err
+		}
+		d.void = false
 	}
 	return nil
 }
