Connect the voters, the lease and the hand-over to the server

Cause: owners were fixed by the settings; nobody took over from a dead one, and configurations could not change while running. Ruled out: pushing changes to all instances (the voters would need a list of receivers, and a restarted instance would wait for the next change); instances pull when a heartbeat shows a newer version. One registered proto file name for two modules made every program panic at start, so names are paths now. Before: static owners.

--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -89,6 +89,7 @@
 		HTTPListener: callers,
 		LinkListener: links,
 		Peers:        peers(daemon),
+		DataFolder:   daemon.Instance.DataFolder,
 		ClientTLS:    clientTLS,
 		Logger:       server.NewLogger(os.Stderr, level),
 		DrainDelay:   args.DrainDelay,
--- a/consensus/sysstate/machine.go
+++ b/consensus/sysstate/machine.go
@@ -101,7 +101,9 @@
 }
 
 // digestOf tells commands apart. For configurations it covers the fields and
-// not the encoding, which may differ between releases.
+// not the encoding, which may differ between releases. The summary is left out:
+// it describes the change against the configuration at the time of the request,
+// which is another one when the request is resent.
 func digestOf(command *Command, data []byte) uint64 {
 	hash := fnv.New64a()
 	apply := command.GetApplyConfig()
@@ -110,7 +112,7 @@
 		return hash.Sum64()
 	}
 	for _, part := range []string{
-		strconv.FormatUint(apply.BaseVersion, 10), string(apply.Config), apply.Author, apply.Summary,
+		strconv.FormatUint(apply.BaseVersion, 10), string(apply.Config), apply.Author,
 	} {
 		hash.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
 	}
--- a/server/attempts.go
+++ b/server/attempts.go
@@ -24,6 +24,11 @@
 // followAttempt sends a start, follows it and reports its end.
 func (s *Server) followAttempt(e dispatch.StartAttempt) {
 	defer s.attempts.done()
+	if !s.leaseHeld() {
+		// The process may have paused between the decision and this step.
+		s.post(input{dispatch: dispatch.AttemptRefused{Attempt: e.Attempt, Cause: dispatch.RefusedNotSent}})
+		return
+	}
 	call := targetapi.StartCall{
 		Attempt: e.Attempt,
 		Request: targetapi.StartRequest{
--- /dev/null
+++ b/server/control/keeper.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"encoding/json"
+	"maps"
+	"sync"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/consensus/sysstate"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+// keptConfigs is the number of configurations kept to answer with differences.
+const keptConfigs = 64
+
+// keeper holds the newest known state. Its state never goes back to an older
+// version. It is safe for concurrent use.
+type keeper struct {
+	mu     sync.RWMutex
+	state  State
+	recent []structs.SystemConfig // oldest first
+}
+
+// current returns the newest state.
+func (k *keeper) current() State {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.state
+}
+
+// adopt takes a state if it is newer, and reports whether it was.
+func (k *keeper) adopt(state State) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if state.Version() <= k.state.Version() {
+		return false
+	}
+	if state.Config.Version > k.state.Config.Version {
+		k.recent = append(k.recent, state.Config)
+		if len(k.recent) > keptConfigs {
+			k.recent = k.recent[1:]
+		}
+	}
+	k.state = state
+	return true
+}
+
+// request returns what to ask a peer for.
+func (k *keeper) request() *wire.StateRequest {
+	state := k.current()
+	return &wire.StateRequest{StateVersion: state.Version(), ConfigVersion: state.Config.Version}
+}
+
+// reply answers a peer with what is newer than the versions it knows.
+func (k *keeper) reply(request *wire.StateRequest) (*wire.StateReply, error) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	state := &k.state
+	reply := &wire.StateReply{StateVersion: state.Version(), ConfigVersion: state.Config.Version}
+	for centre, view := range state.Views {
+		encoded, err := proto.Marshal(sysstate.ViewToProto(&view))
+		if err != nil {
+			return nil, errors.Annotate(err, "encode view")
+		}
+		reply.Views = append(reply.Views, &wire.DataCentreView{DataCentre: centre, View: encoded})
+	}
+	if state.Config.Version <= request.GetConfigVersion() {
+		return reply, nil
+	}
+	revision, err := json.Marshal(state.Revision)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode revision")
+	}
+	reply.Revision = revision
+	return reply, k.addConfig(reply, request.GetConfigVersion())
+}
+
+// addConfig adds the configuration, as a difference if the base is kept.
+func (k *keeper) addConfig(reply *wire.StateReply, base uint64) error {
+	config := k.state.Config
+	for i := range k.recent {
+		if k.recent[i].Version == base {
+			config = difference(&k.recent[i], &k.state.Config, reply)
+			reply.BaseVersion = base
+		}
+	}
+	encoded, err := json.Marshal(config)
+	reply.Config = encoded
+	return errors.Annotate(err, "encode configuration")
+}
+
+// difference returns the entries of after that differ from before, and names
+// the removed ones in the reply.
+func difference(before, after *structs.SystemConfig, reply *wire.StateReply) structs.SystemConfig {
+	changed := structs.SystemConfig{
+		Version: after.Version,
+		Classes: make(map[string]structs.Class),
+		Tenants: make(map[string]structs.Tenant),
+	}
+	reply.RemovedClasses = diffMaps(before.Classes, after.Classes, changed.Classes)
+	reply.RemovedTenants = diffMaps(before.Tenants, after.Tenants, changed.Tenants)
+	return changed
+}
+
+// diffMaps puts new and changed entries into changed and returns the names of
+// removed ones.
+func diffMaps[V comparable](before, after, changed map[string]V) (removed []string) {
+	for name, value := range after {
+		if old, ok := before[name]; !ok || old != value {
+			changed[name] = value
+		}
+	}
+	for name := range before {
+		if _, ok := after[name]; !ok {
+			removed = append(removed, name)
+		}
+	}
+	return removed
+}
+
+// merge returns the state that a reply leads to.
+func (k *keeper) merge(reply *wire.StateReply) (State, error) {
+	state := k.current()
+	state.Views = make(map[string]lease.View)
+	for _, view := range reply.GetViews() {
+		decoded := &sysstate.LeaseView{}
+		if err := proto.Unmarshal(view.GetView(), decoded); err != nil {
+			return state, errors.Annotate(err, "decode view")
+		}
+		state.Views[view.GetDataCentre()] = sysstate.ViewFromProto(decoded)
+	}
+	if reply.GetConfig() == nil {
+		return state, nil
+	}
+	config, err := mergeConfig(&state.Config, reply)
+	if err != nil {
+		return state, err
+	}
+	state.Config = config
+	return state, errors.Annotate(json.Unmarshal(reply.GetRevision(), &state.Revision), "decode revision")
+}
+
+func mergeConfig(base *structs.SystemConfig, reply *wire.StateReply) (structs.SystemConfig, error) {
+	var config structs.SystemConfig
+	if err := json.Unmarshal(reply.GetConfig(), &config); err != nil {
+		return config, errors.Annotate(err, "decode configuration")
+	}
+	if reply.GetBaseVersion() == 0 {
+		return config, nil
+	}
+	if reply.GetBaseVersion() != base.Version {
+		return config, errors.Errorf("difference is against version %d, not %d", reply.GetBaseVersion(), base.Version)
+	}
+	config.Classes = mergeMaps(base.Classes, config.Classes, reply.GetRemovedClasses())
+	config.Tenants = mergeMaps(base.Tenants, config.Tenants, reply.GetRemovedTenants())
+	return config, nil
+}
+
+func mergeMaps[V any](base, changed map[string]V, removed []string) map[string]V {
+	merged := maps.Clone(base)
+	if merged == nil {
+		merged = make(map[string]V)
+	}
+	maps.Copy(merged, changed)
+	for _, name := range removed {
+		delete(merged, name)
+	}
+	return merged
+}
--- /dev/null
+++ b/server/control/propose.go
@@ -0,0 +1,106 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	jujuerrors "github.com/juju/errors"
+
+	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/consensus/node"
+	"hawthornshore.example/consensus/sysstate"
+	"hawthornshore.example/operatorapi"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+// errNotLeader is returned by a voter that a proposal was already forwarded to.
+var errNotLeader = errors.New("voter is not the leader")
+
+// ProposeLease brings a lease command of a data centre to the voters.
+func (c *Control) ProposeLease(ctx context.Context, dataCentre string, command *lease.Command) (lease.Result, error) {
+	answer, err := c.propose(ctx, &sysstate.Command{
+		Body: &sysstate.Command_Lease{Lease: sysstate.CommandToProto(dataCentre, command)},
+	})
+	if err != nil {
+		return lease.Result{}, err
+	}
+	if answer.GetLease() == nil {
+		return lease.Result{}, jujuerrors.Errorf("lease command refused: %s", answer.GetMessage())
+	}
+	return sysstate.ResultFromProto(answer.GetLease()), nil
+}
+
+// Apply brings an operator's configuration to the voters. Repeating it with the
+// same operation ID returns the first answer.
+func (c *Control) Apply(ctx context.Context, request *operatorapi.ApplyRequest) (*sysstate.Answer, error) {
+	config := structs.SystemConfig{Classes: request.Classes, Tenants: request.Tenants}
+	encoded, err := json.Marshal(config)
+	if err != nil {
+		return nil, jujuerrors.Annotate(err, "encode configuration")
+	}
+	current := c.State()
+	return c.propose(ctx, &sysstate.Command{
+		OperationId: request.OperationID,
+		Body: &sysstate.Command_ApplyConfig{ApplyConfig: &sysstate.ApplyConfig{
+			BaseVersion: request.ExpectedVersion,
+			Config:      encoded,
+			Author:      request.Operator,
+			Summary:     summaryOf(&current.Config, &config),
+		}},
+	})
+}
+
+// propose brings a command to the leader, over another voter if need be.
+func (c *Control) propose(ctx context.Context, command *sysstate.Command) (*sysstate.Answer, error) {
+	data, err := sysstate.EncodeCommand(command)
+	if err != nil {
+		return nil, jujuerrors.Annotate(err, "encode command")
+	}
+	if c.voter != nil {
+		answer, err := c.proposeHere(ctx, &wire.Proposal{Command: data})
+		if err != nil {
+			return nil, err
+		}
+		return sysstate.DecodeAnswer(answer)
+	}
+	failures := []error{ErrNoVoter}
+	for _, peer := range c.options.Voters {
+		answer, err := c.proposeAt(ctx, peer, &wire.Proposal{Command: data})
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		return sysstate.DecodeAnswer(answer)
+	}
+	return nil, errors.Join(failures...)
+}
+
+func (c *Control) proposeAt(ctx context.Context, peer string, proposal *wire.Proposal) ([]byte, error) {
+	reply, err := c.options.Mesh.Call(ctx, peer, &wire.Envelope{Body: &wire.Envelope_Proposal{Proposal: proposal}})
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetProposalAnswer().GetAnswer(), nil
+}
+
+func (c *Control) serveProposal(ctx context.Context, proposal *wire.Proposal) ([]byte, error) {
+	if c.voter == nil {
+		return nil, jujuerrors.Errorf("instance %s is not a voter", c.options.Name)
+	}
+	return c.proposeHere(ctx, proposal)
+}
+
+// proposeHere proposes as the leader, or passes the proposal to the leader.
+func (c *Control) proposeHere(ctx context.Context, proposal *wire.Proposal) ([]byte, error) {
+	answer, err := c.voter.node.Propose(ctx, proposal.GetCommand())
+	var elsewhere *node.NotLeaderError
+	if !errors.As(err, &elsewhere) {
+		return answer, jujuerrors.Annotate(err, "propose")
+	}
+	if elsewhere.Leader == "" || proposal.GetForwarded() {
+		return nil, jujuerrors.Annotatef(errNotLeader, "propose at %s", c.options.Name)
+	}
+	return c.proposeAt(ctx, elsewhere.Leader, &wire.Proposal{Command: proposal.GetCommand(), Forwarded: true})
+}
--- /dev/null
+++ b/server/control/voter.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	jujuerrors "github.com/juju/errors"
+
+	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/consensus"
+	"hawthornshore.example/consensus/node"
+	"hawthornshore.example/consensus/sysstate"
+	"hawthornshore.example/operatorapi"
+	"hawthornshore.example/storage"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+const (
+	// watchInterval is how often the leader looks for leases that have ended.
+	watchInterval = 500 * time.Millisecond
+	// expireTimeout bounds the proposal of one takeover.
+	expireTimeout = 2 * time.Second
+	// initialOperation is the operation ID of the first configuration, so that
+	// it is applied once whoever proposes it.
+	initialOperation = "initial-configuration"
+)
+
+// voter runs this instance's part of the replicated log.
+type voter struct {
+	control *Control
+	disk    *storage.Disk
+	store   *sysstate.Store
+	node    *node.Node
+	applied chan struct{} // holds one token after entries were applied
+}
+
+// Send implements node.Transport.
+func (v *voter) Send(peer string, data []byte) {
+	message := &wire.Envelope{Body: &wire.Envelope_Consensus{Consensus: &wire.ConsensusMessage{Data: data}}}
+	_ = v.control.options.Mesh.Send(peer, message) // the log repeats what is lost
+}
+
+// start opens the data folder and starts the node.
+func (v *voter) start(ctx context.Context) error {
+	folder, err := storage.OpenFolder(v.control.options.DataFolder)
+	if err != nil {
+		return jujuerrors.Annotate(err, "open data folder")
+	}
+	disk, persisted, err := storage.Open(storage.Options{FS: folder, Instance: v.control.options.Name})
+	if err != nil {
+		return jujuerrors.Annotate(err, "open data folder")
+	}
+	v.disk = disk
+	v.control.options.Logger.Info().Str("event", "data_folder_opened").
+		Str("verdict", disk.Verdict().String()).Str("disk_incarnation", disk.Incarnation()).Send()
+	v.node, err = node.Start(ctx, node.Options{
+		Name:         v.control.options.Name,
+		Incarnation:  disk.Incarnation(),
+		Peers:        v.control.options.Voters,
+		Persisted:    persisted,
+		Storage:      disk,
+		Transport:    v,
+		StateMachine: v.store,
+		OnApplied:    func(node.Applied) { v.signalApplied() },
+		OnStatus:     v.logStatus,
+		OnError:      v.logError,
+	})
+	return jujuerrors.Annotate(err, "start voter")
+}
+
+// run waits for the node's end and closes the disk.
+func (v *voter) run() error {
+	err := v.node.Wait()
+	if closeErr := v.disk.Close(); err == nil {
+		err = closeErr
+	}
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return jujuerrors.Annotate(err, "voter")
+}
+
+func (v *voter) signalApplied() {
+	select {
+	case v.applied <- struct{}{}:
+	default:
+	}
+}
+
+func (v *voter) logStatus(status node.Status) {
+	v.control.options.Logger.Info().Str("event", "voter_status").Str("role", status.Role.String()).
+		Uint64("term", status.Term).Str("leader", status.Leader).Send()
+}
+
+func (v *voter) logError(err error) {
+	v.control.options.Logger.Error().Str("event", "voter_error").Str("step", "voter").Err(err).Send()
+}
+
+// publishLoop hands applied states to the instance.
+func (v *voter) publishLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-v.applied:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		state, err := v.state()
+		if err != nil {
+			return err
+		}
+		v.control.adopt(state)
+	}
+}
+
+func (v *voter) state() (State, error) {
+	view, err := v.store.View()
+	if err != nil {
+		return State{}, jujuerrors.Annotate(err, "read system state")
+	}
+	state := State{Config: view.Config, Views: view.DataCentres}
+	if history := v.store.History(); len(history) > 0 {
+		state.Revision = revisionOf(history[len(history)-1])
+	}
+	return state, nil
+}
+
+// watchLoop does what only the leader does: the first configuration, and the
+// removal of members whose leases have ended.
+func (v *voter) watchLoop(ctx context.Context) error {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	var watches map[string]*lease.Watch
+	var term uint64
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		status := v.node.Status()
+		if status.Role != consensus.Leader || !status.Established {
+			watches = nil
+			continue
+		}
+		if watches == nil || term != status.Term {
+			watches, term = make(map[string]*lease.Watch), status.Term
+		}
+		v.proposeInitial(ctx)
+		v.expireLeases(ctx, watches)
+	}
+}
+
+// proposeInitial applies the configuration that this instance was started with
+// if none was ever applied.
+func (v *voter) proposeInitial(ctx context.Context) {
+	if v.store.Version() > 0 {
+		return
+	}
+	config, err := json.Marshal(v.control.options.InitialConfig)
+	if err != nil {
+		v.logError(err)
+		return
+	}
+	v.propose(ctx, &sysstate.Command{
+		OperationId: initialOperation,
+		Body: &sysstate.Command_ApplyConfig{ApplyConfig: &sysstate.ApplyConfig{
+			Config:  config,
+			Author:  v.control.options.Name,
+			Summary: summaryOf(&structs.SystemConfig{}, &v.control.options.InitialConfig),
+		}},
+	})
+}
+
+func (v *voter) expireLeases(ctx context.Context, watches map[string]*lease.Watch) {
+	now := time.Now()
+	for centre, agreement := range v.store.Agreements() {
+		watch := watches[centre]
+		if watch == nil {
+			watch = lease.NewWatch()
+			watches[centre] = watch
+		}
+		for _, command := range watch.Due(now, agreement) {
+			v.control.options.Logger.Warn().Str("event", "lease_expired").Str("peer", command.Instance).
+				Str("data_centre", centre).Uint64("epoch", command.Epoch).Send()
+			v.propose(ctx, &sysstate.Command{Body: &sysstate.Command_Lease{Lease: sysstate.CommandToProto(centre, &command)}})
+		}
+	}
+}
+
+// propose is for the leader's own commands; a refusal or a lost answer is made
+// good by the next look.
+func (v *voter) propose(ctx context.Context, command *sysstate.Command) {
+	ctx, cancel := context.WithTimeout(ctx, expireTimeout)
+	defer cancel()
+	data, err := sysstate.EncodeCommand(command)
+	if err == nil {
+		_, err = v.node.Propose(ctx, data)
+	}
+	if err != nil {
+		v.logError(err)
+	}
+}
+
+// summaryOf describes a change for the history.
+func summaryOf(before, after *structs.SystemConfig) string {
+	changes, err := json.Marshal(operatorapi.Diff(*before, *after))
+	if err != nil {
+		return ""
+	}
+	return string(changes)
+}
+
+func revisionOf(change *sysstate.Change) operatorapi.Revision {
+	return operatorapi.Revision{
+		Version:       change.GetVersion(),
+		OperationID:   change.GetOperationId(),
+		Operator:      change.GetAuthor(),
+		AppliedUnixMS: change.GetUnixMs(),
+	}
+}
+
+// changesOf reads the summary that summaryOf wrote.
+func changesOf(change *sysstate.Change) []operatorapi.Change {
+	var changes []operatorapi.Change
+	if err := json.Unmarshal([]byte(change.GetSummary()), &changes); err != nil {
+		return nil
+	}
+	return changes
+}
--- a/server/decision.go
+++ b/server/decision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hawthornshore.example/claims"
+	"hawthornshore.example/claims/lease"
 	"hawthornshore.example/dispatch"
 	"hawthornshore.example/ring"
 )
@@ -20,6 +21,7 @@
 type input struct {
 	claims   claims.Event
 	dispatch dispatch.Event
+	lease    lease.Event
 	inspect  func(*claims.Core, *dispatch.Core)
 }
 
@@ -27,14 +29,17 @@
 type effects interface {
 	claimsEffect(now time.Time, effect claims.Effect)
 	dispatchEffect(now time.Time, effect dispatch.Effect)
+	leaseEffect(now time.Time, effect lease.Effect)
 	// settled is called when the cores have no effects left.
 	settled(core *dispatch.Core)
 }
 
-// decider owns the claims and dispatch cores.
+// decider owns the cores. The lease core is nil if ownership is fixed by the
+// settings.
 type decider struct {
 	claims   *claims.Core
 	dispatch *dispatch.Core
+	lease    *lease.Core
 	in       *ring.Ring[input]
 	effects  effects
 }
@@ -56,6 +61,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		// Timers come first: after a pause of the process the lease may have
+		// ended, and nothing that waits may be decided as if it were held.
+		d.tick(time.Now())
 		batch = d.in.PopAll(batch[:0])
 		for i := range batch {
 			d.step(time.Now(), batch[i])
@@ -74,6 +82,9 @@
 	if in.dispatch != nil {
 		d.dispatch.Step(now, in.dispatch)
 	}
+	if in.lease != nil && d.lease != nil {
+		d.lease.Step(now, in.lease)
+	}
 	if in.inspect != nil {
 		in.inspect(d.claims, d.dispatch)
 	}
@@ -82,6 +93,12 @@
 
 // tick steps the cores whose timers are due.
 func (d *decider) tick(now time.Time) {
+	if d.lease != nil {
+		if wake, ok := d.lease.NextWake(); ok && !wake.After(now) {
+			d.lease.Step(now, lease.Tick{})
+			d.settle(now)
+		}
+	}
 	if wake, ok := d.claims.NextWake(); ok && !wake.After(now) {
 		d.claims.Step(now, claims.Tick{})
 	}
@@ -94,6 +111,10 @@
 // settle hands effects between the cores until neither has any left.
 func (d *decider) settle(now time.Time) {
 	for {
+		fromLease := d.leaseReady()
+		for _, effect := range fromLease {
+			d.leaseEffect(now, effect)
+		}
 		fromClaims := d.claims.Ready()
 		for _, effect := range fromClaims {
 			d.claimsEffect(now, effect)
@@ -102,13 +123,39 @@
 		for _, effect := range fromDispatch {
 			d.dispatchEffect(now, effect)
 		}
-		if len(fromClaims) == 0 && len(fromDispatch) == 0 {
+		if len(fromLease) == 0 && len(fromClaims) == 0 && len(fromDispatch) == 0 {
 			d.effects.settled(d.dispatch)
 			return
 		}
 	}
 }
 
+func (d *decider) leaseReady() []lease.Effect {
+	if d.lease == nil {
+		return nil
+	}
+	return d.lease.Ready()
+}
+
+// leaseEffect passes changes of members and lease to the other cores before
+// anything that follows from them is sent.
+func (d *decider) leaseEffect(now time.Time, effect lease.Effect) {
+	switch e := effect.(type) {
+	case lease.MembersAgreed:
+		d.claims.Step(now, claims.MembersChanged{
+			Epoch:    e.View.Epoch,
+			Members:  e.View.Names(),
+			Rejoined: e.Rejoined,
+			Left:     e.View.Left,
+			Token:    e.View.Token,
+		})
+	case lease.LeaseChanged:
+		d.claims.Step(now, claims.LeaseChanged{Held: e.Held, Until: e.Until, Epoch: e.Epoch, Confirmed: e.Confirmed})
+		d.dispatch.Step(now, dispatch.LeaseChanged{Held: e.Held})
+	}
+	d.effects.leaseEffect(now, effect)
+}
+
 func (d *decider) claimsEffect(now time.Time, effect claims.Effect) {
 	switch e := effect.(type) {
 	case claims.Admit:
@@ -143,5 +190,10 @@
 	if wake, ok := d.dispatch.NextWake(); ok {
 		wait = min(wait, wake.Sub(now))
 	}
+	if d.lease != nil {
+		if wake, ok := d.lease.NextWake(); ok {
+			wait = min(wait, wake.Sub(now))
+		}
+	}
 	return max(wait, 0)
 }
--- a/server/drain.go
+++ b/server/drain.go
@@ -15,7 +15,11 @@
 	time.Sleep(s.options.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainTimeout)
 	defer cancel()
-	s.post(input{dispatch: dispatch.Drain{}})
+	if s.static {
+		s.post(input{dispatch: dispatch.Drain{}})
+	} else if err := s.handOver(ctx); err != nil {
+		s.log.Error().Str("event", "drain_timeout").Str("step", "leave members").Err(err).Send()
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.Error().Str("event", "drain_timeout").Str("step", "close callers").Err(err).Send()
 	}
--- a/server/effects.go
+++ b/server/effects.go
@@ -16,6 +16,14 @@
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_ClaimCopy{ClaimCopy: copyToWire(e.Copy)}})
 	case claims.Reply:
 		s.waiters.answer(e.Request, e.Answer)
+	case claims.SendHandOver:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_HandOver{HandOver: handOverToWire(&e.HandOver)}})
+	case claims.HandOverMatched:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_HandOverMatched{HandOverMatched: &wire.HandOverMatched{Token: e.Token}}})
+	case claims.HandedOver:
+		s.reportHandedOver(e)
+	case claims.Forward:
+		go s.forwardParked(e)
 	case claims.ClaimUncopied:
 		s.metrics.claimUncopied.Inc()
 		s.log.Debug().Str("event", "claim_uncopied").Str("job_id", e.JobID.String()).
@@ -23,6 +31,15 @@
 	}
 }
 
+// reportHandedOver replaces an earlier report that nobody has taken yet.
+func (s *Server) reportHandedOver(e claims.HandedOver) {
+	select {
+	case <-s.handedOver:
+	default:
+	}
+	s.handedOver <- e
+}
+
 // dispatchEffect carries out an effect of the dispatch core.
 func (s *Server) dispatchEffect(now time.Time, effect dispatch.Effect) {
 	switch e := effect.(type) {
--- /dev/null
+++ b/server/handover.go
@@ -0,0 +1,76 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/wire"
+)
+
+func handOverToWire(h *claims.HandOver) *wire.HandOver {
+	message := &wire.HandOver{Token: h.Token, Epoch: h.Epoch}
+	for _, seal := range h.Partitions {
+		message.Partitions = append(message.Partitions, &wire.PartitionSeal{
+			Partition:     int32(seal.Partition),
+			HorizonUnixMs: seal.HorizonUnixMS,
+			Count:         int32(seal.Count),
+			Digest:        seal.Digest,
+		})
+	}
+	return message
+}
+
+func handOverFromWire(message *wire.HandOver) claims.HandOver {
+	h := claims.HandOver{Token: message.GetToken(), Epoch: message.GetEpoch()}
+	for _, seal := range message.GetPartitions() {
+		h.Partitions = append(h.Partitions, claims.Seal{
+			Partition:     int(seal.GetPartition()),
+			HorizonUnixMS: seal.GetHorizonUnixMs(),
+			Count:         int(seal.GetCount()),
+			Digest:        seal.GetDigest(),
+		})
+	}
+	return h
+}
+
+// forwardParked sends a submission that waited through a change of owner to the
+// new owner, and answers the waiting request.
+func (s *Server) forwardParked(e claims.Forward) {
+	job := e.Submit.Job
+	sub := &submission{
+		action:     wire.JobAction_JOB_ACTION_SUBMIT,
+		job:        job,
+		digest:     e.Submit.Digest,
+		answerTime: answerTime(wire.JobAction_JOB_ACTION_SUBMIT, &job),
+	}
+	ctx, cancel := context.WithDeadline(s.attemptOf, sub.answerTime)
+	defer cancel()
+	s.waiters.answer(e.Submit.Request, s.route(ctx, sub))
+}
+
+// handOver waits until the claims core has handed its records over, and then
+// until the voters have removed this instance from the members. Without a
+// complete hand-over it leaves all the same, before the time is up.
+func (s *Server) handOver(ctx context.Context) error {
+	s.post(input{claims: claims.Drain{}})
+	handing, cancel := context.WithTimeout(ctx, s.options.DrainTimeout-leaveMargin)
+	defer cancel()
+	var done claims.HandedOver
+	select {
+	case done = <-s.handedOver:
+	case <-handing.Done():
+		s.log.Warn().Str("event", "hand_over_incomplete").Str("step", "hand over").Send()
+	}
+	s.post(input{lease: lease.Leave{Token: done.Token, Epoch: done.Epoch}})
+	select {
+	case <-s.left:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// leaveMargin is the part of the drain timeout kept for leaving the members.
+const leaveMargin = 2 * time.Second
--- a/server/http.go
+++ b/server/http.go
@@ -31,19 +31,36 @@
 	return mux
 }
 
-// ready tells the balancer whether to send new requests here. A fresh instance
-// is not ready while it cannot tell new job IDs from those of its earlier
-// process.
+// ready tells the balancer whether to send new requests here.
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if reason := s.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// notReady returns why new jobs should go elsewhere; empty if they need not. A
+// fresh instance cannot tell new job IDs from those of its earlier process, and
+// one that gained partitions cannot tell them from those of the earlier owner.
+func (s *Server) notReady() string {
 	switch {
 	case s.draining.Load():
-		http.Error(w, "draining", http.StatusServiceUnavailable)
-		return
+		return "draining"
+	case s.configVersion.Load() == 0 && !s.static:
+		return "waiting for the system configuration"
+	case !s.static && !s.confirmed():
+		return "waiting for the lease"
 	case time.Since(s.started) < startHorizon:
-		http.Error(w, "waiting for the recovery horizon to pass", http.StatusServiceUnavailable)
-		return
+		return "waiting for the recovery horizon to pass"
 	}
-	w.WriteHeader(http.StatusOK)
+	return ""
+}
+
+// confirmed reports whether this instance may act as an owner.
+func (s *Server) confirmed() bool {
+	e := s.lease.Load()
+	return e != nil && e.Held && e.Confirmed
 }
 
 // submitJob answers POST /v1/jobs.
--- /dev/null
+++ b/server/leases.go
@@ -0,0 +1,91 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/server/control"
+	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
+)
+
+// proposeTimeout bounds one lease command; the lease core asks again.
+const proposeTimeout = structs.OwnerRenewInterval
+
+// leaseEffect carries out an effect of the lease core.
+func (s *Server) leaseEffect(_ time.Time, effect lease.Effect) {
+	switch e := effect.(type) {
+	case lease.Propose:
+		go s.proposeLease(e)
+	case lease.RequestPromise:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_LeasePromise{LeasePromise: &wire.LeasePromise{
+			Epoch: e.Epoch, DurationMs: e.Duration.Milliseconds(), Sequence: e.Sequence,
+		}}})
+	case lease.AnswerPromise:
+		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_LeasePromised{LeasePromised: &wire.LeasePromised{
+			Epoch: e.Epoch, Granted: e.Granted, Sequence: e.Sequence,
+		}}})
+	case lease.FetchView:
+		s.control.Pull(e.Peer)
+	case lease.MembersAgreed:
+		s.membersAgreed(&e)
+	case lease.LeaseChanged:
+		s.leaseChanged(&e)
+	case lease.Left:
+		close(s.left)
+	}
+}
+
+// proposeLease brings a command to the voters and its result back.
+func (s *Server) proposeLease(e lease.Propose) {
+	ctx, cancel := context.WithTimeout(s.attemptOf, proposeTimeout)
+	defer cancel()
+	result, err := s.control.ProposeLease(ctx, s.options.DataCentre, &e.Command)
+	if err != nil {
+		s.log.Debug().Str("event", "lease_not_renewed").Str("step", "propose lease").Err(err).Send()
+		return
+	}
+	s.post(input{lease: lease.GrantAnswered{Sequence: e.Sequence, Result: result}})
+}
+
+func (s *Server) membersAgreed(e *lease.MembersAgreed) {
+	names := e.View.Names()
+	s.places.agree(s.options.DataCentre, names)
+	s.metrics.epoch.Set(e.View.Epoch)
+	s.log.Info().Str("event", "members_agreed").Uint64("epoch", e.View.Epoch).
+		Strs("members", names).Str("left", e.View.Left).Send()
+}
+
+func (s *Server) leaseChanged(e *lease.LeaseChanged) {
+	before := s.lease.Swap(e)
+	if before == nil || before.Held != e.Held {
+		s.log.Info().Str("event", "lease_changed").Bool("held", e.Held).Uint64("epoch", e.Epoch).Send()
+	}
+}
+
+// leaseHeld reports whether a start may be sent now.
+func (s *Server) leaseHeld() bool {
+	if s.static {
+		return true
+	}
+	e := s.lease.Load()
+	return e != nil && e.Held && time.Now().Before(e.Until)
+}
+
+// stateChanged takes a newer system state.
+func (s *Server) stateChanged(state control.State) {
+	if before := s.configVersion.Swap(state.Config.Version); before != state.Config.Version {
+		s.log.Info().Str("event", "config_in_force").Uint64("version", state.Config.Version).
+			Str("operator", state.Revision.Operator).Send()
+		s.metrics.configVersion.Set(state.Config.Version)
+		s.applyConfig(state.Config)
+	}
+	for centre, view := range state.Views {
+		if centre == s.options.DataCentre {
+			s.post(input{lease: lease.ViewLearned{View: view}})
+			continue
+		}
+		s.places.agree(centre, view.Names())
+	}
+}
--- a/server/messages.go
+++ b/server/messages.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornshore.example/claims"
+	"hawthornshore.example/claims/lease"
 	"hawthornshore.example/dispatch"
 	"hawthornshore.example/structs"
 	"hawthornshore.example/wire"
@@ -36,6 +37,22 @@
 			Peer: peer, TargetID: body.SlotReturn.GetTargetId(), Class: body.SlotReturn.GetClass(),
 			Failed: body.SlotReturn.GetFailed(), RunMS: body.SlotReturn.GetRunMs(),
 		}})
+	case *wire.Envelope_Consensus:
+		s.control.HandleConsensus(peer, body.Consensus)
+	case *wire.Envelope_LeasePromise:
+		s.post(input{lease: lease.PromiseRequested{
+			Peer: peer, Epoch: body.LeasePromise.GetEpoch(), Sequence: body.LeasePromise.GetSequence(),
+			Duration: time.Duration(body.LeasePromise.GetDurationMs()) * time.Millisecond,
+		}})
+	case *wire.Envelope_LeasePromised:
+		s.post(input{lease: lease.PromiseAnswered{
+			Peer: peer, Incarnation: s.places.incarnation(peer), Sequence: body.LeasePromised.GetSequence(),
+			Granted: body.LeasePromised.GetGranted(), Epoch: body.LeasePromised.GetEpoch(),
+		}})
+	case *wire.Envelope_HandOver:
+		s.post(input{claims: claims.HandOverReceived{Peer: peer, HandOver: handOverFromWire(body.HandOver)}})
+	case *wire.Envelope_HandOverMatched:
+		s.post(input{claims: claims.HandOverAcked{Peer: peer, Token: body.HandOverMatched.GetToken()}})
 	default:
 		s.log.Warn().Str("event", "message_unexpected").Str("peer", peer).
 			Str("type", fmt.Sprintf("%T", body)).Send()
@@ -47,14 +64,24 @@
 	switch body := request.GetBody().(type) {
 	case *wire.Envelope_JobRequest:
 		return s.handleJobRequest(ctx, body.JobRequest)
-	default:
-		return nil, &structs.StepError{Step: "serve call", Peer: peer, Err: fmt.Errorf("unexpected request %T", body)}
 	}
+	reply, err := s.control.HandleCall(ctx, request)
+	if reply == nil && err == nil {
+		err = fmt.Errorf("unexpected request %T", request.GetBody())
+	}
+	if err != nil {
+		return nil, &structs.StepError{Step: "serve call", Peer: peer, Err: err}
+	}
+	return reply, nil
 }
 
 // LinkUp records that a peer can be reached.
 func (s *Server) LinkUp(peer *wire.Hello) {
-	s.places.setLive(peer.GetInstance(), true)
+	name := peer.GetInstance()
+	s.places.setLive(name, true)
+	if s.places.isNeighbour(name) && s.places.newIncarnation(name, peer.GetIncarnation()) {
+		s.post(input{claims: claims.PeerRestarted{Peer: name}})
+	}
 	s.log.Info().Str("event", "link_up").Str("peer", peer.GetInstance()).
 		Str("data_centre", peer.GetDataCentre()).Str("incarnation", peer.GetIncarnation()).Send()
 	s.reviewTargets()
@@ -77,9 +104,13 @@
 func (s *Server) Heartbeat() *wire.Heartbeat {
 	beat := &wire.Heartbeat{
 		ClockUnixMs:   time.Now().UnixMilli(),
-		ConfigVersion: s.options.Config.Version,
+		ConfigVersion: s.configVersion.Load(),
 		Draining:      s.draining.Load(),
 	}
+	if !s.static {
+		state := s.control.State()
+		beat.StateVersion = state.Version()
+	}
 	if offer := s.offer.Load(); offer != nil {
 		beat.FreeSlots = int32(offer.Free)
 		beat.TotalSlots = int32(offer.Total)
@@ -92,6 +123,11 @@
 }
 
 func (s *Server) handleHeartbeat(peer string, beat *wire.Heartbeat) {
+	s.control.HeardVersion(peer, beat.GetStateVersion())
+	s.places.heard(peer, beat)
+	if s.places.setLive(peer, !beat.GetDraining()) {
+		s.reviewTargets()
+	}
 	if s.places.isNeighbour(peer) {
 		s.post(input{dispatch: dispatch.PeerSlots{
 			Peer: peer, Free: int(beat.GetFreeSlots()), Total: int(beat.GetTotalSlots()),
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -27,6 +27,8 @@
 	forwardFailed  *vm.Counter
 	sendFailed     *vm.Counter
 	slotRequests   *vm.Counter
+	epoch          *vm.Counter
+	configVersion  *vm.Counter
 
 	mu     sync.Mutex
 	series map[string]bool
@@ -45,6 +47,8 @@
 		forwardFailed:  set.NewCounter("hawthorn_forwards_failed_total"),
 		sendFailed:     set.NewCounter("hawthorn_sends_failed_total"),
 		slotRequests:   set.NewCounter("hawthorn_slot_requests_total"),
+		epoch:          set.NewCounter("hawthorn_members_epoch"),
+		configVersion:  set.NewCounter("hawthorn_config_version"),
 		series:         make(map[string]bool),
 	}
 }
--- a/server/options.go
+++ b/server/options.go
@@ -26,9 +26,14 @@
 	HTTPListener net.Listener
 	LinkListener net.Listener
 	Peers        []Peer
-	Config       structs.SystemConfig
-	ClientTLS    *tls.Config
-	Logger       zerolog.Logger
+	// DataFolder makes the instance a voter for the system's own state. If no
+	// instance is a voter, Config is used as it is, and the owners of job IDs are
+	// fixed by the peers' names.
+	DataFolder string
+	// Config is the configuration that is applied if none ever was.
+	Config    structs.SystemConfig
+	ClientTLS *tls.Config
+	Logger    zerolog.Logger
 	// DrainDelay is how long a stopping instance reports that it is not ready
 	// before it refuses connections, so that the balancer takes it out first.
 	DrainDelay time.Duration
@@ -38,3 +43,21 @@
 	// default.
 	Policy string
 }
+
+// voters returns the names of the voters, those of the own data centre first.
+func (o *Options) voters() []string {
+	var near, far []string
+	if o.DataFolder != "" {
+		near = append(near, o.Name)
+	}
+	for _, peer := range o.Peers {
+		switch {
+		case !peer.Voter:
+		case peer.DataCentre == o.DataCentre:
+			near = append(near, peer.Name)
+		default:
+			far = append(far, peer.Name)
+		}
+	}
+	return append(near, far...)
+}
--- a/server/places.go
+++ b/server/places.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"hawthornshore.example/claims"
 	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
 )
 
 // places knows which instances serve which data centre: the agreed members,
@@ -15,9 +17,12 @@
 	self       string
 	dataCentre string
 	mu         sync.RWMutex
-	members    map[string][]string // by data centre, sorted
+	members    map[string][]string // agreed, by data centre, sorted
 	home       map[string]string   // data centre of each instance
 	live       map[string]bool
+	// incarnations and beats are what the links told of each peer.
+	incarnations map[string]string
+	beats        map[string]beat
 }
 
 func newPlaces(options Options) *places {
@@ -27,6 +32,9 @@
 		members:    make(map[string][]string),
 		home:       make(map[string]string),
 		live:       make(map[string]bool),
+
+		incarnations: make(map[string]string),
+		beats:        make(map[string]beat),
 	}
 	p.add(options.Name, options.DataCentre)
 	p.live[options.Name] = true
@@ -49,6 +57,15 @@
 	return slices.Clone(p.members[dataCentre])
 }
 
+// agree takes the agreed members of a data centre.
+func (p *places) agree(dataCentre string, members []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(members) > 0 {
+		p.members[dataCentre] = slices.Clone(members)
+	}
+}
+
 // owner returns the instance that owns a job ID; false for an unknown data centre.
 func (p *places) owner(id structs.JobID, dataCentre string) (string, bool) {
 	p.mu.RLock()
@@ -65,19 +82,60 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var live []string
-	for _, member := range p.members[p.dataCentre] {
-		if p.live[member] {
-			live = append(live, member)
+	for instance, centre := range p.home {
+		if centre == p.dataCentre && p.live[instance] {
+			live = append(live, instance)
 		}
 	}
 	return claims.Manager(live, targetID)
 }
 
-// setLive records whether there is a link to an instance.
-func (p *places) setLive(instance string, live bool) {
+// setLive records whether an instance may manage targets, and reports whether
+// that has changed.
+func (p *places) setLive(instance string, live bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	changed := p.live[instance] != live
 	p.live[instance] = live
+	return changed
+}
+
+// newIncarnation records the process behind a link, and reports whether another
+// process of the instance was known before.
+func (p *places) newIncarnation(instance, incarnation string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.incarnations[instance]
+	p.incarnations[instance] = incarnation
+	return before != "" && before != incarnation
+}
+
+// incarnation returns the process behind the link to an instance.
+func (p *places) incarnation(instance string) string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.incarnations[instance]
+}
+
+// beat is the last heartbeat of a peer.
+type beat struct {
+	at      time.Time
+	message *wire.Heartbeat
+}
+
+// heard records a heartbeat.
+func (p *places) heard(instance string, message *wire.Heartbeat) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beats[instance] = beat{at: time.Now(), message: message}
+}
+
+// lastBeat returns the last heartbeat of a peer.
+func (p *places) lastBeat(instance string) (beat, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	b, ok := p.beats[instance]
+	return b, ok
 }
 
 // isNeighbour reports whether an instance serves the own data centre.
--- a/server/server.go
+++ b/server/server.go
@@ -11,8 +11,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/claims"
+	"hawthornshore.example/claims/lease"
 	"hawthornshore.example/dispatch"
 	"hawthornshore.example/ring"
+	"hawthornshore.example/server/control"
+	"hawthornshore.example/structs"
 	"hawthornshore.example/targetapi"
 	"hawthornshore.example/wire"
 )
@@ -30,15 +33,23 @@
 	places  *places
 	waiters *waiters
 	metrics *metrics
+	control *control.Control
 	http    *http.Server
+	// static says that there is no voter: members are fixed by the settings.
+	static bool
 
-	started   time.Time
-	draining  atomic.Bool
-	offer     atomic.Pointer[dispatch.Offer]
-	attempts  inflight // attempts being followed
-	requests  inflight // callers' requests in flight
-	attemptOf context.Context
-	stopAll   context.CancelFunc
+	started  time.Time
+	draining atomic.Bool
+	// configVersion is the version of the configuration in force here.
+	configVersion atomic.Uint64
+	lease         atomic.Pointer[lease.LeaseChanged]
+	handedOver    chan claims.HandedOver
+	left          chan struct{} // closed when the voters have removed this instance
+	offer         atomic.Pointer[dispatch.Offer]
+	attempts      inflight // attempts being followed
+	requests      inflight // callers' requests in flight
+	attemptOf     context.Context
+	stopAll       context.CancelFunc
 }
 
 // New returns a Server that starts work in Run.
@@ -50,11 +61,24 @@
 		waiters: newWaiters(),
 		metrics: newMetrics(),
 		started: time.Now(),
+		static:  len(options.voters()) == 0,
+
+		handedOver: make(chan claims.HandedOver, 1),
+		left:       make(chan struct{}),
 	}
 	s.attemptOf, s.stopAll = context.WithCancel(context.Background())
 	s.targets = targetapi.NewClient(targetapi.Options{OnMismatch: s.reportMismatch})
 	s.decider = s.newDecider()
 	s.mesh = s.newMesh()
+	s.control = control.New(control.Options{
+		Name:          options.Name,
+		DataFolder:    options.DataFolder,
+		Voters:        options.voters(),
+		InitialConfig: options.Config,
+		Mesh:          s.mesh,
+		Logger:        s.log,
+		OnState:       s.stateChanged,
+	})
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
 	return s
 }
@@ -76,12 +100,17 @@
 		in:      ring.New[input](inputRingSize),
 		effects: s,
 	}
+	if !s.static {
+		d.lease = lease.New(lease.Options{Instance: s.options.Name, Start: start})
+		return d
+	}
 	d.step(start, input{dispatch: dispatch.ConfigChanged{Config: s.options.Config}})
 	d.step(start, input{claims: claims.MembersChanged{Epoch: 1, Members: s.places.agreed(s.options.DataCentre)}})
 	d.step(start, input{
 		claims:   claims.LeaseChanged{Held: true},
 		dispatch: dispatch.LeaseChanged{Held: true},
 	})
+	s.configVersion.Store(s.options.Config.Version)
 	return d
 }
 
@@ -115,6 +144,10 @@
 	inner, stopInner := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopInner()
 	group, inner := errgroup.WithContext(inner)
+	if err := s.control.Start(inner); err != nil {
+		return err
+	}
+	group.Go(func() error { return s.control.Run(inner) })
 	group.Go(func() error { return s.decider.decisionLoop(inner) })
 	group.Go(func() error { return s.mesh.Run(inner) })
 	group.Go(func() error { return s.serveHTTP() })
@@ -143,6 +176,11 @@
 	return err
 }
 
+// applyConfig puts a newer configuration in force.
+func (s *Server) applyConfig(config structs.SystemConfig) {
+	s.post(input{dispatch: dispatch.ConfigChanged{Config: config}})
+}
+
 // post hands an event to the decision loop. It fails only when the server
 // stops.
 func (s *Server) post(in input) {
--- a/tools/protogen/main.go
+++ b/tools/protogen/main.go
@@ -28,11 +28,13 @@
 	}
 }
 
-// generate writes FILE.pb.go into the folder of the given file.
+// generate writes FILE.pb.go into the folder of the given file. The path is
+// registered with the messages and must be unique in a program, so it is taken
+// relative to the working directory, the root of the repository.
 func generate(path string) error {
-	dir, name := filepath.Split(path)
+	name := filepath.ToSlash(filepath.Clean(path))
 	compiler := protocompile.Compiler{
-		Resolver:       &protocompile.SourceResolver{ImportPaths: []string{dir}},
+		Resolver:       &protocompile.SourceResolver{ImportPaths: []string{"."}},
 		SourceInfoMode: protocompile.SourceInfoStandard,
 	}
 	files, err := compiler.Compile(context.Background(), name)
@@ -55,8 +57,7 @@
 		}
 	}
 	for _, out := range plugin.Response().GetFile() {
-		target := filepath.Join(dir, out.GetName())
-		if err := os.WriteFile(target, []byte(out.GetContent()), 0o644); err != nil {
+		if err := os.WriteFile(filepath.FromSlash(out.GetName()), []byte(out.GetContent()), 0o644); err != nil {
 			return err
 		}
 	}
--- a/wire/mesh_test.go
+++ b/wire/mesh_test.go
@@ -35,7 +35,7 @@
 }
 
 func (r *recorder) HandleCall(_ context.Context, peer string, request *wire.Envelope) (*wire.Envelope, error) {
-	if request.GetOperatorRequest().GetCommand() == "fail" {
+	if string(request.GetProposal().GetCommand()) == "fail" {
 		return nil, errors.New("refused by " + peer)
 	}
 	return request, nil
@@ -138,7 +138,7 @@
 	})
 
 	request := func(command string) *wire.Envelope {
-		return &wire.Envelope{Body: &wire.Envelope_OperatorRequest{OperatorRequest: &wire.OperatorRequest{Command: command}}}
+		return &wire.Envelope{Body: &wire.Envelope_Proposal{Proposal: &wire.Proposal{Command: []byte(command)}}}
 	}
 
 	// Guards against one-way messages that only pass in the direction of the dial.
@@ -150,7 +150,7 @@
 		for mesh, peer := range map[*wire.Mesh]string{meshA: "b", meshB: "a"} {
 			reply, err := mesh.Call(context.Background(), peer, request("echo"))
 			Expect(err).NotTo(HaveOccurred())
-			Expect(reply.GetOperatorRequest().GetCommand()).To(Equal("echo"))
+			Expect(reply.GetProposal().GetCommand()).To(BeEquivalentTo("echo"))
 		}
 	})
 
