--- a/server/decision.go
+++ b/server/decision.go
@@ -31,7 +31,7 @@
 	dispatchEffect(now time.Time, effect dispatch.Effect)
 	leaseEffect(now time.Time, effect lease.Effect)
 	// settled is called when the cores have no effects left.
-	settled(core *dispatch.Core)
+	settled(claimed *claims.Core, core *dispatch.Core)
 }
 
 // decider owns the cores. The lease core is nil if ownership is fixed by the
@@ -124,7 +124,7 @@
 			d.dispatchEffect(now, effect)
 		}
 		if len(fromLease) == 0 && len(fromClaims) == 0 && len(fromDispatch) == 0 {
-			d.effects.settled(d.dispatch)
+			d.effects.settled(d.claims, d.dispatch)
 			return
 		}
 	}
--- a/server/effects.go
+++ b/server/effects.go
@@ -84,10 +84,12 @@
 		Str("message", answer.Message).Send()
 }
 
-// settled publishes the figures that heartbeats carry.
-func (s *Server) settled(core *dispatch.Core) {
+// settled publishes the figures that heartbeats and the readiness check need.
+func (s *Server) settled(claimed *claims.Core, core *dispatch.Core) {
 	offer := core.Offer()
 	s.offer.Store(&offer)
+	ownership := claimed.Ownership()
+	s.ownership.Store(&ownership)
 }
 
 // send queues a one-way message to a peer. A message that cannot be queued is
--- a/server/http.go
+++ b/server/http.go
@@ -11,10 +11,6 @@
 	"hawthornshore.example/wire"
 )
 
-// startHorizon is how long after its start an instance cannot tell new job IDs
-// from those of its earlier process.
-const startHorizon = 2 * structs.ClockSkewTolerance
-
 // maxAnnouncementBytes bounds the body of a target's announcement.
 const maxAnnouncementBytes = 64 << 10
 
@@ -44,25 +40,20 @@
 // fresh instance cannot tell new job IDs from those of its earlier process, and
 // one that gained partitions cannot tell them from those of the earlier owner.
 func (s *Server) notReady() string {
+	ownership := s.ownership.Load()
 	switch {
 	case s.draining.Load():
 		return "draining"
 	case s.configVersion.Load() == 0 && !s.static:
 		return "waiting for the system configuration"
-	case !s.static && !s.confirmed():
-		return "waiting for the lease"
-	case time.Since(s.started) < startHorizon:
+	case ownership == nil || ownership.Owned == 0 || ownership.Ready < ownership.Owned:
+		return "waiting for the lease of the owned job IDs"
+	case time.Now().Before(ownership.Horizon):
 		return "waiting for the recovery horizon to pass"
 	}
 	return ""
 }
 
-// confirmed reports whether this instance may act as an owner.
-func (s *Server) confirmed() bool {
-	e := s.lease.Load()
-	return e != nil && e.Held && e.Confirmed
-}
-
 // submitJob answers POST /v1/jobs.
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request) {
 	s.requests.add()
--- a/server/server.go
+++ b/server/server.go
@@ -43,6 +43,7 @@
 	// configVersion is the version of the configuration in force here.
 	configVersion atomic.Uint64
 	lease         atomic.Pointer[lease.LeaseChanged]
+	ownership     atomic.Pointer[claims.Ownership]
 	handedOver    chan claims.HandedOver
 	left          chan struct{} // closed when the voters have removed this instance
 	offer         atomic.Pointer[dispatch.Offer]
@@ -60,7 +61,6 @@
 		places:  newPlaces(options),
 		waiters: newWaiters(),
 		metrics: newMetrics(),
-		started: time.Now(),
 		static:  len(options.voters()) == 0,
 
 		handedOver: make(chan claims.HandedOver, 1),
