--- a/apps/hawthornctl/internal/cli/config_apply.go
+++ b/apps/hawthornctl/internal/cli/config_apply.go
@@ -25,9 +25,10 @@
 func (c *configApplyCommand) Help() string {
 	return `Replaces all classes and tenants by those of the folder, if the version in force is still the expected one. If another operator was first, nothing is changed, the exit code is 4 and the winner's change is printed: look at it, run "config diff" again and apply with the new version.
 
-If the answer is lost (exit code 5), run the printed command with the same operation ID: it returns the first answer or applies the change now.
+If the answer is lost (exit code 5), run the command again with the printed --operation-id: it returns the first answer or applies the change now.
 
-Example: hawthornctl config apply examples/resin/system --expect-version 4 --wait`
+Example:
+  hawthornctl config apply examples/resin/system --expect-version 4 --wait`
 }
 
 // Run applies the folder.
--- a/apps/hawthornctl/internal/cli/config_check.go
+++ b/apps/hawthornctl/internal/cli/config_check.go
@@ -18,7 +18,8 @@
 func (c *configCheckCommand) Help() string {
 	return `Reads the folder as an instance would and prints every problem with file, line, key and allowed values. No instance is asked, so the command suits a commit check. Exit code 3 if there are problems.
 
-Example: hawthornctl config check examples/resin/system`
+Example:
+  hawthornctl config check examples/resin/system`
 }
 
 // checkReport is the result of a check.
--- a/apps/hawthornctl/internal/cli/config_diff.go
+++ b/apps/hawthornctl/internal/cli/config_diff.go
@@ -13,7 +13,8 @@
 func (c *configDiffCommand) Help() string {
 	return `Prints one row per value that "config apply" would change, and the version to give as --expect-version.
 
-Example: hawthornctl config diff examples/resin/system --exit-code || echo "not in force yet"`
+Example:
+  hawthornctl config diff examples/resin/system --exit-code || echo "not in force yet"`
 }
 
 // diffReport is the result of a comparison.
--- a/apps/hawthornctl/internal/cli/config_history.go
+++ b/apps/hawthornctl/internal/cli/config_history.go
@@ -26,7 +26,8 @@
 func (c *configHistoryCommand) Help() string {
 	return `One row per changed value; the rows of one change share its version and operation ID.
 
-Example: hawthornctl config history --limit 100 | grep max_queue`
+Example:
+  hawthornctl config history --limit 100 | grep max_queue`
 }
 
 // Run lists applied changes.
--- a/apps/hawthornctl/internal/cli/config_show.go
+++ b/apps/hawthornctl/internal/cli/config_show.go
@@ -16,7 +16,8 @@
 func (c *configShowCommand) Help() string {
 	return `The output is an INI file that could itself be applied; origins are comments in it.
 
-Example: hawthornctl config show --origin examples/resin/system | grep max_queue`
+Example:
+  hawthornctl config show --origin examples/resin/system | grep max_queue`
 }
 
 // shownValue is a value in force with its origin.
--- a/apps/hawthornctl/internal/cli/drain.go
+++ b/apps/hawthornctl/internal/cli/drain.go
@@ -17,7 +17,8 @@
 func (c *drainCommand) Help() string {
 	return `The instance reports not ready, finishes requests in flight, hands over and exits. It is the same as SIGTERM. Exactly one address must be given, and the call is sent once.
 
-Example: hawthornctl -a 127.0.0.1:18080 drain`
+Example:
+  hawthornctl -a 127.0.0.1:18080 drain`
 }
 
 // Run asks the addressed instance to stop.
--- a/apps/hawthornctl/internal/cli/job_get.go
+++ b/apps/hawthornctl/internal/cli/job_get.go
@@ -15,7 +15,8 @@
 func (c *jobGetCommand) Help() string {
 	return `Answers are kept for 60 s. The exit code tells the outcome as for job submit.
 
-Example: hawthornctl job get 01890a5d-ac96-774b-bcce-b302099a8057 --data-centre yard1`
+Example:
+  hawthornctl job get 01890a5d-ac96-774b-bcce-b302099a8057 --data-centre yard1`
 }
 
 // Run queries the job.
--- a/apps/hawthornctl/internal/cli/pages_test.go
+++ b/apps/hawthornctl/internal/cli/pages_test.go
@@ -20,7 +20,7 @@
 const pagesFolder = "../../../../docs"
 
 var (
-	commandPattern = regexp.MustCompile(`(?m)^\s*(?:Example: )?hawthornctl (.+)$`)
+	commandPattern = regexp.MustCompile(`(?m)^\s*hawthornctl (.+)$`)
 	exitPattern    = regexp.MustCompile(`(?m)^ +([0-9]+)  (.+)$`)
 )
 
--- a/apps/hawthornctl/internal/cli/status.go
+++ b/apps/hawthornctl/internal/cli/status.go
@@ -13,7 +13,8 @@
 func (c *statusCommand) Help() string {
 	return `Asks every address given and prints a row for each instance that answers. If an address does not answer, the others are still printed and the exit code is 5.
 
-Example: hawthornctl -a 127.0.0.1:18080 -a 127.0.0.1:18180 status`
+Example:
+  hawthornctl -a 127.0.0.1:18080 -a 127.0.0.1:18180 status`
 }
 
 // Run shows the state of every addressed instance.
