--- /dev/null
+++ b/integration/cluster.go
@@ -0,0 +1,237 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/emulator"
+	"hawthornshore.example/integration/faultproxy"
+	"hawthornshore.example/structs"
+)
+
+// Programs are the paths of the built programs.
+type Programs struct {
+	Daemon string
+	Target string
+}
+
+// DataCentre is the home of all instances, targets and jobs of a Cluster.
+const DataCentre = "north"
+
+// systemConfig is the first system configuration of the instances.
+const systemConfig = `[class.urgent]
+rank = 0
+[class.relaxed]
+rank = 1
+[tenant.desk]
+weight = 1
+`
+
+// Cluster is a set of processes in one data centre.
+type Cluster struct {
+	Instances map[string]*Instance
+	Targets   map[string]*Target
+	programs  Programs
+	dir       string
+	members   []string
+}
+
+// NewCluster prepares entry instances with the given names. Their files are
+// kept in dir.
+func NewCluster(programs Programs, dir string, names ...string) (*Cluster, error) {
+	c := &Cluster{
+		Instances: make(map[string]*Instance),
+		Targets:   make(map[string]*Target),
+		programs:  programs,
+		dir:       dir,
+		members:   names,
+	}
+	if err := c.writeFile("config/10-system.ini", systemConfig); err != nil {
+		return nil, err
+	}
+	addresses, err := freeAddresses(2 * len(names))
+	if err != nil {
+		return nil, err
+	}
+	for i, name := range names {
+		c.Instances[name] = &Instance{Name: name, HTTP: addresses[2*i], Link: addresses[2*i+1], cluster: c}
+	}
+	for _, name := range names {
+		if err := c.connect(c.Instances[name]); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// connect places a proxy before the link of every peer and writes the
+// instance's settings.
+func (c *Cluster) connect(i *Instance) error {
+	i.Links = make(map[string]*faultproxy.Proxy)
+	var text strings.Builder
+	fmt.Fprintf(&text, "[instance]\nname = %s\ndata_centre = %s\nlisten_http = %s\nlisten_link = %s\nlog_level = debug\n",
+		i.Name, DataCentre, i.HTTP, i.Link)
+	for _, peer := range c.members {
+		if peer == i.Name {
+			continue
+		}
+		proxy, err := faultproxy.New(c.Instances[peer].Link)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		i.Links[peer] = proxy
+		fmt.Fprintf(&text, "[peer.%s]\nlink = %s\ndata_centre = %s\n", peer, proxy.Address(), DataCentre)
+	}
+	return c.writeFile("settings-"+i.Name+"/10-instance.ini", text.String())
+}
+
+func (c *Cluster) writeFile(name, text string) error {
+	path := filepath.Join(c.dir, name)
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(os.WriteFile(path, []byte(text), 0o644))
+}
+
+// entries returns the HTTP addresses of all instances.
+func (c *Cluster) entries() []string {
+	var addresses []string
+	for _, name := range c.members {
+		addresses = append(addresses, c.Instances[name].HTTP)
+	}
+	return addresses
+}
+
+// Owner returns the instance that owns a job ID.
+func (c *Cluster) Owner(id structs.JobID) *Instance {
+	return c.Instances[claims.Owner(c.members, claims.Partition(id))]
+}
+
+// Other returns an instance that differs from the given one.
+func (c *Cluster) Other(than *Instance) *Instance {
+	for _, name := range c.members {
+		if name != than.Name {
+			return c.Instances[name]
+		}
+	}
+	return than
+}
+
+// warmUpPause is the time between two attempts to have a job served.
+const warmUpPause = 50 * time.Millisecond
+
+// WarmUp waits until every instance is ready and has, as an owner, completed a
+// job, so that targets and slots are known everywhere.
+func (c *Cluster) WarmUp(ctx context.Context) error {
+	for _, name := range c.members {
+		instance := c.Instances[name]
+		if err := instance.waitReady(ctx); err != nil {
+			return err
+		}
+		for {
+			job := c.NewJob(instance, time.Second, Work{RunMS: 1})
+			answer, err := instance.Submit(ctx, job)
+			if err == nil && answer.Outcome == structs.OutcomeComplete {
+				break
+			}
+			if err := pause(ctx, warmUpPause); err != nil {
+				return errors.Annotatef(err, "warming up %s, last answer %+v", name, answer)
+			}
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Starts returns all lines of all start records.
+func (c *Cluster) Starts() ([]emulator.StartLine, error) {
+	var all []emulator.StartLine
+	for _, target := range c.Targets {
+		lines, err := target.Starts()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+// WaitStarts waits until the start records hold at least count starts of a job.
+func (c *Cluster) WaitStarts(ctx context.Context, id structs.JobID, count int) error {
+	for {
+		lines, err := c.Starts()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		seen := 0
+		for _, line := range lines {
+			if line.JobID == id.String() {
+				seen++
+			}
+		}
+		if seen >= count {
+			return nil
+		}
+		if err := pause(ctx, time.Millisecond); err != nil {
+			return errors.Annotatef(err, "%d of %d starts of job %s", seen, count, id)
+		}
+	}
+}
+
+// killWait is how long a process gets for a graceful stop in Close.
+const killWait = 5 * time.Second
+
+// Close continues and stops all processes: instances first, so that they send
+// no start to a target that has gone.
+func (c *Cluster) Close() {
+	for _, instance := range c.Instances {
+		instance.process.end()
+		for _, proxy := range instance.Links {
+			proxy.Close()
+		}
+	}
+	for _, target := range c.Targets {
+		target.process.end()
+		target.Proxy.Close()
+	}
+}
+
+// end stops a process whatever its state.
+func (p *Process) end() {
+	if p == nil || !p.Running() {
+		return
+	}
+	_ = p.Signal(syscall.SIGCONT)
+	_ = p.Stop(killWait)
+}
+
+// Logs returns the ends of all logs, for the report of a failed test.
+func (c *Cluster) Logs() string {
+	const tail = 6000 // bytes per log
+	var text strings.Builder
+	paths, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		fmt.Fprintf(&text, "== %s\n%s\n", filepath.Base(path), data[max(0, len(data)-tail):])
+	}
+	return text.String()
+}
--- /dev/null
+++ b/integration/instance.go
@@ -0,0 +1,124 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hawthornshore.example/integration/faultproxy"
+	"hawthornshore.example/structs"
+)
+
+// Instance is an entry instance that runs as a process.
+type Instance struct {
+	Name  string
+	HTTP  string                       // address for callers and targets
+	Link  string                       // address for other instances
+	Links map[string]*faultproxy.Proxy // the way to each peer
+
+	cluster *Cluster
+	process *Process
+}
+
+// Start runs the instance. A stopped instance keeps its addresses.
+func (i *Instance) Start() error {
+	c := i.cluster
+	p, err := startProcess(c.dir, i.Name, c.programs.Daemon,
+		"--settings", filepath.Join(c.dir, "settings-"+i.Name),
+		"--config", filepath.Join(c.dir, "config"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	i.process = p
+	return nil
+}
+
+// Kill ends the process at once.
+func (i *Instance) Kill() error { return i.process.Kill() }
+
+// Freeze stops the process without ending it.
+func (i *Instance) Freeze() error { return i.process.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (i *Instance) Thaw() error { return i.process.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to end and waits for it.
+func (i *Instance) Stop(within time.Duration) error { return i.process.Stop(within) }
+
+// Terminate asks the process to end.
+func (i *Instance) Terminate() error { return i.process.Signal(syscall.SIGTERM) }
+
+// Log returns what the instance has logged.
+func (i *Instance) Log() string { return i.process.Log() }
+
+func (i *Instance) waitReady(ctx context.Context) error {
+	for {
+		if !i.process.Running() {
+			return errors.Errorf("%s has ended: %s", i.Name, i.Log())
+		}
+		if i.status(ctx, "/readyz") == http.StatusOK {
+			return nil
+		}
+		if err := pause(ctx, warmUpPause); err != nil {
+			return errors.Annotatef(err, "waiting for %s", i.Name)
+		}
+	}
+}
+
+// status returns the status code of a GET request, or 0 without an answer.
+func (i *Instance) status(ctx context.Context, path string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.HTTP+path, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// caller opens a connection per request, so that no request meets a connection
+// of a killed process.
+var caller = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Submit sends a job and returns the answer.
+func (i *Instance) Submit(ctx context.Context, job structs.Job) (structs.Answer, error) {
+	body, err := json.Marshal(job)
+	if err != nil {
+		return structs.Answer{}, errors.Trace(err)
+	}
+	return i.do(ctx, http.MethodPost, "/v1/jobs", body)
+}
+
+// Query asks for the answer of a job.
+func (i *Instance) Query(ctx context.Context, id structs.JobID) (structs.Answer, error) {
+	return i.do(ctx, http.MethodGet, "/v1/jobs/"+id.String()+"?data_centre="+DataCentre, nil)
+}
+
+// Cancel cancels a job.
+func (i *Instance) Cancel(ctx context.Context, id structs.JobID) (structs.Answer, error) {
+	return i.do(ctx, http.MethodDelete, "/v1/jobs/"+id.String()+"?data_centre="+DataCentre, nil)
+}
+
+func (i *Instance) do(ctx context.Context, method, path string, body []byte) (structs.Answer, error) {
+	var answer structs.Answer
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+i.HTTP+path, bytes.NewReader(body))
+	if err != nil {
+		return answer, errors.Trace(err)
+	}
+	resp, err := caller.Do(req)
+	if err != nil {
+		return answer, errors.Annotatef(err, "%s %s at %s", method, path, i.Name)
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&answer)
+	return answer, errors.Annotatef(err, "answer of %s, status %d", i.Name, resp.StatusCode)
+}
--- /dev/null
+++ b/integration/target.go
@@ -0,0 +1,81 @@
+package integration
+
+import (
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hawthornshore.example/emulator"
+	"hawthornshore.example/integration/faultproxy"
+)
+
+// Target is an emulated target that runs as a process behind a proxy.
+type Target struct {
+	ID    string
+	Proxy *faultproxy.Proxy // between the instances and the target
+
+	cluster *Cluster
+	process *Process
+	record  string
+	address string // behind the proxy
+	args    []string
+}
+
+// AddTarget starts a target. The arguments are added to its command line.
+func (c *Cluster) AddTarget(id string, slots int, args ...string) (*Target, error) {
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	proxy, err := faultproxy.New(addresses[0])
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	t := &Target{
+		ID: id, Proxy: proxy, cluster: c, address: addresses[0],
+		record: filepath.Join(c.dir, id+".starts"),
+		args:   append([]string{"--slots", strconv.Itoa(slots)}, args...),
+	}
+	c.Targets[id] = t
+	return t, t.Start()
+}
+
+// Start runs the target. A stopped target keeps its address and start record
+// and gets a new incarnation.
+func (t *Target) Start() error {
+	args := []string{
+		"--id", t.ID, "--listen", t.address, "--advertise", t.Proxy.Address(),
+		"--data-centre", DataCentre, "--worker", "worker-" + t.ID, "--rack", "rack-1",
+		"--cores", "4", "--mb", "1024", "--start-record", t.record,
+	}
+	for _, entry := range t.cluster.entries() {
+		args = append(args, "--entry", entry)
+	}
+	p, err := startProcess(t.cluster.dir, t.ID, t.cluster.programs.Target, append(args, t.args...)...)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	t.process = p
+	return nil
+}
+
+// Kill ends the process at once.
+func (t *Target) Kill() error { return t.process.Kill() }
+
+// Freeze stops the process without ending it.
+func (t *Target) Freeze() error { return t.process.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (t *Target) Thaw() error { return t.process.Signal(syscall.SIGCONT) }
+
+// Leave asks the target to leave and returns the time of the request.
+func (t *Target) Leave() (time.Time, error) { return time.Now(), t.process.Signal(syscall.SIGTERM) }
+
+// Running tells whether the target's process has not ended.
+func (t *Target) Running() bool { return t.process.Running() }
+
+// Starts returns the lines of the target's start record.
+func (t *Target) Starts() ([]emulator.StartLine, error) { return emulator.ReadStartRecord(t.record) }
