Give up leadership when the disk hangs without an error

Cause: a leader whose sync never returns kept sending heartbeats and committed with the others' acknowledgements, but applied and answered nothing; a follower in that state raised its term again and again in memory. Ruled out: a time limit in the disk writer (the core already tracks which syncs are outstanding and has the clock). Before: no rule. NeverForm keeps an instance whose disk had a log before from forming a new, empty group. Conclusion: hanging and full disks are handled alike.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -188,6 +188,7 @@
 func (c *Core) refuse(ref Ref, err error) { c.emit(Refused{Ref: ref, Err: err}) }
 
 func (c *Core) tick() {
+	c.checkDisk()
 	if c.role == Leader {
 		c.leaderTick()
 		return
--- a/consensus/node/doc.go
+++ b/consensus/node/doc.go
@@ -6,6 +6,7 @@
 //	n, err := node.Start(ctx, node.Options{
 //		Name: "a", Incarnation: disk.Incarnation(), Persisted: persisted,
 //		Peers: []string{"a", "b", "c"},
+//		NeverForm: disk.Verdict() == storage.Lost || disk.Verdict() == storage.Foreign,
 //		Storage: disk, Transport: links, StateMachine: store,
 //		OnApplied: func(node.Applied) { ... },
 //	})
@@ -14,7 +15,9 @@
 // The transport calls Receive for every message that arrives. Messages may be
 // lost, repeated and reordered. Cancelling the context stops the node; Wait
 // returns after its goroutines have ended, and only then may the disk be
-// closed.
+// closed. Wait also returns, with an error, when the disk fails for another
+// reason than being full or when the log contradicts itself; the instance then
+// goes on without being a member.
 //
 // # Names and member IDs
 //
--- a/consensus/node/join.go
+++ b/consensus/node/join.go
@@ -89,7 +89,7 @@
 // groups with different incarnations of a third would disagree.
 func (j *joiner) form() {
 	options := j.loop.node.options
-	if options.Peers[0] != options.Name {
+	if options.NeverForm || options.Peers[0] != options.Name {
 		return
 	}
 	voters := []string{j.loop.node.id}
--- a/consensus/node/options.go
+++ b/consensus/node/options.go
@@ -43,6 +43,10 @@
 	Incarnation string   // of its disk
 	Peers       []string // names of the instances that are meant to be voters; may include Name
 	Persisted   consensus.Persisted
+	// NeverForm keeps the instance from forming a new group. It is set when
+	// the disk is known to have held a log before, so that the loss of all
+	// disks does not silently begin with an empty configuration.
+	NeverForm bool
 	// Core holds timings and limits; ID is set by Start, and Seed if it is 0.
 	Core consensus.Options
 
--- a/consensus/persist.go
+++ b/consensus/persist.go
@@ -1,6 +1,10 @@
 package consensus
 
-import "google.golang.org/protobuf/proto"
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
 
 // persistState tracks which state was handed to the disk and which is durable.
 type persistState struct {
@@ -19,7 +23,10 @@
 
 // persistMark says up to which index a Persist effect makes the log and the
 // commit index durable.
-type persistMark struct{ sequence, lastIndex, commit uint64 }
+type persistMark struct {
+	sequence, lastIndex, commit uint64
+	begun                       time.Time
+}
 
 // heldMessage leaves the core once a Persist effect is durable.
 type heldMessage struct {
@@ -108,12 +115,27 @@
 	}
 	p.hardDirty, p.snapshot, p.reset = false, nil, false
 	p.next = c.log.lastIndex() + 1
-	p.marks = append(p.marks, persistMark{sequence: p.sequence, lastIndex: c.log.lastIndex(), commit: c.commit})
+	p.marks = append(p.marks, persistMark{
+		sequence: p.sequence, lastIndex: c.log.lastIndex(), commit: c.commit, begun: c.now,
+	})
 	c.emit(effect)
 }
 
 const maxInt = int(^uint(0) >> 1)
 
+// diskTimeouts is the number of election timeouts after which a disk that does
+// not report a sync counts as stalled.
+const diskTimeouts = 2
+
+// checkDisk finds a disk that hangs without an error. Its instance would lead
+// without ever applying anything, or raise its term again and again.
+func (c *Core) checkDisk() {
+	marks := c.persist.marks
+	if len(marks) > 0 && c.now.Sub(marks[0].begun) > diskTimeouts*c.options.ElectionTimeout {
+		c.diskStalled()
+	}
+}
+
 // synced notes that Persist effects are durable.
 func (c *Core) synced(sequence uint64) {
 	p := &c.persist
--- a/consensus/rules_test.go
+++ b/consensus/rules_test.go
@@ -250,6 +250,20 @@
 		Expect(s.core.Status().Term).To(Equal(uint64(1)))
 	})
 
+	It("gives up leadership when the disk hangs", func() {
+		s := newSingle(1, members(abc, nil))
+		s.lead(1)
+		s.synced = false
+		s.step(consensus.Propose{Ref: 1})
+		for range 30 {
+			s.wait(timeout / 10)
+			s.get("b", appendReply(2, 3))
+		}
+		Expect(s.core.Status().Role).To(Equal(consensus.Follower))
+		s.step(consensus.Synced{Sequence: 100})
+		Expect(s.core.NextWake()).NotTo(BeZero())
+	})
+
 	It("gives up leadership and grants no vote while the disk is stalled", func() {
 		s := newSingle(1, members(abc, nil))
 		s.lead(1)
--- a/consensus/simulation_test.go
+++ b/consensus/simulation_test.go
@@ -182,7 +182,12 @@
 	}
 	if wake := m.core.NextWake(); !wake.IsZero() && !wake.Equal(m.wake) {
 		m.wake = wake
-		s.later(m, wake.Sub(s.now), func() { s.step(m, consensus.Tick{}) })
+		s.later(m, wake.Sub(s.now), func() {
+			if m.wake.Equal(wake) {
+				m.wake = time.Time{}
+				s.step(m, consensus.Tick{})
+			}
+		})
 	}
 }
 
