Hand over to any voter, and test old disks that come back

Cause: a draining leader has to hand over without choosing a voter itself, and a disk that was replaced may be mounted again later. Ruled out: leaving the choice to the caller (it does not know whose log is longest).

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -174,6 +174,9 @@
 }
 
 func (c *Core) transferLeadership(to string) {
+	if to == "" {
+		to = c.bestVoter()
+	}
 	if c.role != Leader || to == c.options.ID || !c.members().HasVoter(to) {
 		return
 	}
--- a/consensus/events.go
+++ b/consensus/events.go
@@ -36,7 +36,8 @@
 // ReadReady or Refused.
 type ReadBarrier struct{ Ref Ref }
 
-// TransferLeadership asks the leader to hand over to a voter.
+// TransferLeadership asks the leader to hand over to a voter; an empty To
+// stands for the voter with the longest log.
 type TransferLeadership struct{ To string }
 
 // Synced says that all Persist effects up to a sequence number are durable.
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -172,11 +172,14 @@
 
 func (l *loop) transfer(ref consensus.Ref, name string) {
 	status := l.core.Status()
-	to := memberByName(status.Members, name)
+	to := ""
+	if name != "" {
+		to = memberByName(status.Members, name)
+	}
 	switch {
 	case status.Role != consensus.Leader:
 		l.answer(ref, result{err: l.convert(&consensus.NotLeaderError{Leader: status.Leader})})
-	case !status.Members.HasVoter(to):
+	case name != "" && !status.Members.HasVoter(to):
 		l.answer(ref, result{err: consensus.ErrNoSuchMember})
 	default:
 		l.step(consensus.TransferLeadership{To: to})
--- a/consensus/node/node.go
+++ b/consensus/node/node.go
@@ -132,7 +132,8 @@
 }
 
 // TransferLeadership asks the leader to hand over to the voter of an
-// instance. It returns at once; OnStatus reports the outcome.
+// instance, or to the one with the longest log when name is empty. It returns
+// at once; OnStatus reports the outcome.
 func (n *Node) TransferLeadership(ctx context.Context, name string) error {
 	_, err := n.ask(ctx, func(l *loop, ref consensus.Ref) { l.transfer(ref, name) })
 	return err
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -315,14 +315,21 @@
 	if c.changePending() || c.members().HasVoter(c.options.ID) {
 		return
 	}
+	best := c.bestVoter()
+	if best != "" {
+		c.send(best, &Message{Body: &Message_TimeoutNow{TimeoutNow: &TimeoutNow{}}})
+	}
+	c.becomeFollower(c.term, "")
+}
+
+// bestVoter returns the other voter with the longest log known to match, or
+// "" when there is none.
+func (c *Core) bestVoter() string {
 	best := ""
 	for _, voter := range c.members().Voters {
 		if p := c.progress[voter]; p != nil && (best == "" || p.match > c.progress[best].match) {
 			best = voter
 		}
 	}
-	if best != "" {
-		c.send(best, &Message{Body: &Message_TimeoutNow{TimeoutNow: &TimeoutNow{}}})
-	}
-	c.becomeFollower(c.term, "")
+	return best
 }
--- a/consensus/sysstate/machine_test.go
+++ b/consensus/sysstate/machine_test.go
@@ -42,8 +42,6 @@
 	return WithTransform(func(a *sysstate.Answer) sysstate.Status { return a.Status }, Equal(status))
 }
 
-var ok = sysstate.Status_STATUS_OK
-
 var _ = Describe("The system configuration", func() {
 	It("lets one of two racing operators win and tells the other who did", func() {
 		l := newLog()
--- a/storage/group_test.go
+++ b/storage/group_test.go
@@ -275,6 +275,32 @@
 		Expect(g.change("after")).To(Equal(uint64(154)))
 	})
 
+	It("restarts as a whole while one disk is lost, and takes an old disk back", func() {
+		g := newGroup("a", "b", "c")
+		for i := range 150 {
+			g.change(fmt.Sprintf("op-%d", i))
+		}
+		for _, name := range g.names {
+			g.kill(name)
+		}
+		kept := filepath.Join(g.root, "kept")
+		Expect(os.Rename(filepath.Join(g.root, "c"), kept)).To(Succeed())
+		for _, name := range g.names {
+			g.start(name)
+		}
+		g.expectVoter("c")
+		version := g.change("after the loss")
+		g.expectVersion(version)
+
+		g.loseDisk("c")
+		Expect(os.Rename(kept, filepath.Join(g.root, "c"))).To(Succeed())
+		g.start("c")
+		g.expectVersion(version)
+		g.expectVoter("c")
+		Expect(g.get("c").disk.Verdict()).To(Equal(storage.Known))
+		Expect(g.change("after the return")).To(Equal(version + 1))
+	})
+
 	It("returns an isolated instance without a new term", func() {
 		g := newGroup("a", "b", "c")
 		g.change("first")
@@ -319,6 +345,9 @@
 		Expect(leader.node.TransferLeadership(context.Background(), to)).To(Succeed())
 		Eventually(func() bool { return g.get(to).node.Status().Established }, time.Minute).Should(BeTrue())
 		Expect(g.change("second")).To(Equal(uint64(2)))
+		Expect(g.get(to).node.TransferLeadership(context.Background(), "")).To(Succeed())
+		Eventually(func() bool { return g.get(to).node.Status().Established }, time.Minute).Should(BeFalse())
+		Expect(g.change("third")).To(Equal(uint64(3)))
 	})
 })
 
