Test the lease, the hand-over and recovery; keep the origin of lost jobs

Cause: a record whose owner had restarted was passed on without its origin, so that the restarted owner waited for an answer from its backup until the deadline instead of answering unknown at once.

Also new: the schedules check every 20 ms that no partition has two processes that would act on it.

--- a/claims/copies.go
+++ b/claims/copies.go
@@ -89,7 +89,7 @@
 	for _, id := range c.sortedIDs() {
 		r := c.records[id]
 		if r.state == foreign && r.origin == peer {
-			r.origin = ""
+			r.lost = true
 			c.tellWaiters(r, unknown(id, structs.ReasonOwnerLost, "the job's owner was lost"))
 		}
 		if p := c.partitionOf(id); p.owner == peer || p.backup == peer {
--- a/claims/group_test.go
+++ b/claims/group_test.go
@@ -85,6 +85,7 @@
 		g.after(time.Duration(i)*10*time.Millisecond, n.boot)
 	}
 	g.after(time.Second, g.superviseMembers)
+	g.after(time.Second, g.checkOwners)
 	return g
 }
 
@@ -164,6 +165,24 @@
 	g.after(250*time.Millisecond, g.superviseMembers)
 }
 
+// checkOwners fails if two processes would act on one partition.
+func (g *group) checkOwners() {
+	for p := range structs.Partitions {
+		owner := ""
+		for _, n := range g.nodes {
+			if !n.up || !n.claims.ActsOn(n.clock(), p) {
+				continue
+			}
+			if owner != "" {
+				g.faultf("partition %d has owners %s and %s", p, owner, n.process())
+				return
+			}
+			owner = n.process()
+		}
+	}
+	g.after(20*time.Millisecond, g.checkOwners)
+}
+
 func (g *group) faultf(format string, args ...any) {
 	g.faults = append(g.faults, g.now.Sub(start).String()+" "+fmt.Sprintf(format, args...))
 }
--- /dev/null
+++ b/claims/handover_test.go
@@ -0,0 +1,131 @@
+package claims_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/structs"
+)
+
+// pairBench is an owner "a" and its heir "b", joined by a lossless link.
+type pairBench struct {
+	now  time.Time
+	a, b *claims.Core
+	out  map[*claims.Core][]claims.Effect // effects that are not messages
+	lose func(claims.Effect) bool
+}
+
+func newPair() *pairBench {
+	p := &pairBench{
+		now:  start,
+		a:    claims.New(claims.Options{Instance: "a", Start: start}),
+		b:    claims.New(claims.Options{Instance: "b", Start: start}),
+		lose: func(claims.Effect) bool { return false },
+	}
+	for _, core := range []*claims.Core{p.a, p.b} {
+		p.step(core, claims.MembersChanged{Epoch: 1, Members: []string{"a", "b"}})
+		p.step(core, claims.LeaseChanged{Held: true, Epoch: 1, Confirmed: true})
+	}
+	p.now = start.Add(ready)
+	return p
+}
+
+// step steps one core, delivers all messages and returns what else the core emitted.
+func (p *pairBench) step(core *claims.Core, ev claims.Event) []claims.Effect {
+	p.out = make(map[*claims.Core][]claims.Effect)
+	core.Step(p.now, ev)
+	for range 20 {
+		p.now = p.now.Add(10 * time.Millisecond)
+		p.a.Step(p.now, claims.Tick{})
+		p.deliver(p.a, "a", p.b)
+		p.b.Step(p.now, claims.Tick{})
+		p.deliver(p.b, "b", p.a)
+	}
+	return p.out[core]
+}
+
+func (p *pairBench) deliver(from *claims.Core, name string, to *claims.Core) {
+	for _, e := range from.Ready() {
+		switch m := e.(type) {
+		case claims.SendCopy:
+			if !p.lose(e) {
+				to.Step(p.now, claims.CopyReceived{Peer: name, Copy: m.Copy})
+			}
+		case claims.SendHandOver:
+			to.Step(p.now, claims.HandOverReceived{Peer: name, HandOver: m.HandOver})
+		case claims.HandOverMatched:
+			to.Step(p.now, claims.HandOverAcked{Peer: name, Token: m.Token})
+		default:
+			p.out[from] = append(p.out[from], e)
+		}
+	}
+}
+
+// refuse records a refused job at a, which is not copied.
+func (p *pairBench) refuse(request claims.RequestID) structs.Job {
+	j := jobAt(p.now, "a", "b")
+	p.step(p.a, claims.Submit{Request: request, Job: j})
+	p.step(p.a, claims.JobFinished{Answer: structs.Answer{JobID: j.ID, Outcome: structs.OutcomeNotRun}})
+	return j
+}
+
+func (p *pairBench) takeOver(token uint64) {
+	p.step(p.b, claims.MembersChanged{Epoch: 2, Members: []string{"b"}, Left: "a", Token: token})
+	p.step(p.b, claims.LeaseChanged{Held: true, Epoch: 2, Confirmed: true})
+}
+
+func handedOver(effects []claims.Effect) claims.HandedOver {
+	GinkgoHelper()
+	for _, e := range effects {
+		if h, ok := e.(claims.HandedOver); ok {
+			return h
+		}
+	}
+	Fail("no HandedOver")
+	return claims.HandedOver{}
+}
+
+var _ = Describe("A graceful stop", func() {
+	It("hands over so that the new owner admits fresh IDs at once and knows the refused ones", func() {
+		p := newPair()
+		refused := p.refuse(1)
+		token := handedOver(p.step(p.a, claims.Drain{})).Token
+		fresh := jobAt(p.now, "a", "b")
+		Expect(p.step(p.a, claims.Submit{Request: 2, Job: fresh})).To(BeEmpty(), "must wait for the new owner")
+		p.takeOver(token)
+		Expect(only(p.step(p.b, claims.Submit{Request: 1, Job: refused})).Outcome).To(Equal(structs.OutcomeNotRun))
+		Expect(p.step(p.b, claims.Submit{Request: 2, Job: fresh})).To(Equal([]claims.Effect{claims.Admit{Job: fresh}}))
+		moved := claims.MembersChanged{Epoch: 2, Members: []string{"b"}}
+		Expect(p.step(p.a, moved)).To(HaveExactElements(BeAssignableToTypeOf(claims.Forward{})))
+	})
+
+	It("does not lower the horizon for a hand-over that the voters do not name", func() {
+		p := newPair()
+		token := handedOver(p.step(p.a, claims.Drain{})).Token
+		fresh := jobAt(p.now, "a", "b")
+		p.takeOver(token + 2)
+		Expect(only(p.step(p.b, claims.Submit{Request: 1, Job: fresh})).Reason).To(Equal(structs.ReasonHorizon))
+	})
+
+	It("is not complete while a record is missing at the new owner", func() {
+		p := newPair()
+		p.refuse(1)
+		p.lose = func(claims.Effect) bool { return true }
+		Expect(p.step(p.a, claims.Drain{})).To(BeEmpty())
+		p.lose = func(claims.Effect) bool { return false }
+		p.now = p.now.Add(2 * time.Second)
+		handedOver(p.step(p.a, claims.Tick{}))
+	})
+
+	It("waits for the running jobs", func() {
+		p := newPair()
+		j := jobAt(p.now, "a", "b")
+		p.step(p.a, claims.Submit{Request: 1, Job: j})
+		p.step(p.a, claims.JobAdmitted{JobID: j.ID})
+		Expect(p.step(p.a, claims.Drain{})).To(BeEmpty())
+		handedOver(p.step(p.a, claims.JobFinished{Answer: complete(j.ID)}))
+	})
+})
--- /dev/null
+++ b/claims/lease/depart_test.go
@@ -0,0 +1,49 @@
+package lease_test
+
+import (
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/claims/lease"
+)
+
+// remove makes a command of the given kind that relies on the current state.
+func remove(a *lease.Agreement, kind lease.Kind, name string) lease.Command {
+	return lease.Command{Kind: kind, Instance: name, Epoch: a.Epoch, Renewals: a.Members[name].Renewals}
+}
+
+var _ = Describe("A departure", func() {
+	// Guards against a delayed command of an earlier process of the instance,
+	// which would remove the process that acts now.
+	It("is refused if a renewal overtook it", func() {
+		a := joined("a", "b")
+		leave := remove(a, lease.Depart, "a")
+		settle(a, "a")
+		Expect(a.Apply(leave).Granted).To(BeFalse())
+		Expect(a.Apply(remove(a, lease.Depart, "a")).Granted).To(BeTrue())
+	})
+})
+
+var _ = Describe("An agreement", func() {
+	// Guards against a data centre that no instance can join again after its
+	// sole member has died.
+	It("lets an operator remove a sole member", func() {
+		a := joined("a")
+		Expect(a.Apply(remove(a, lease.Expire, "a")).Granted).To(BeFalse())
+		Expect(a.Apply(remove(a, lease.Force, "a")).Granted).To(BeTrue())
+		Expect(a.Apply(lease.Command{Kind: lease.Join, Instance: "b"}).Granted).To(BeTrue())
+	})
+
+	// Guards against a field that is missing in a snapshot.
+	It("survives a snapshot", func() {
+		a := joined("a", "b", "c")
+		Expect(a.Apply(remove(a, lease.Expire, "c")).Granted).To(BeTrue())
+		data, err := json.Marshal(a)
+		Expect(err).NotTo(HaveOccurred())
+		restored := lease.NewAgreement()
+		Expect(json.Unmarshal(data, restored)).To(Succeed())
+		Expect(restored).To(Equal(a))
+	})
+})
--- a/claims/ownership.go
+++ b/claims/ownership.go
@@ -99,7 +99,7 @@
 // orphaned says whether the instance that admitted a job is lost, so that its
 // answer will not come.
 func (c *Core) orphaned(r *record) bool {
-	return r.state == foreign && (r.origin == c.opts.Instance || !c.isMember(r.origin))
+	return r.state == foreign && (r.lost || r.origin == c.opts.Instance || !c.isMember(r.origin))
 }
 
 func (c *Core) partitionOf(id structs.JobID) *partition { return &c.partitions[Partition(id)] }
--- a/claims/record.go
+++ b/claims/record.go
@@ -36,7 +36,8 @@
 	// future is set on refusals that count against maxFutureRecords.
 	future    bool
 	cancelled bool          // CancelJob was sent for a released job
-	origin    string        // instance that admitted a foreign job; empty if it is known to be lost
+	origin    string        // instance that admitted a foreign job
+	lost      bool          // the process that admitted a foreign job is known to be lost
 	copyPeer  string        // backup whose acknowledgement is awaited
 	due       time.Duration // when waiting requests are answered without the job's answer
 	copyDue   time.Duration // when the wait for copyPeer ends
--- /dev/null
+++ b/claims/recovery_test.go
@@ -0,0 +1,124 @@
+package claims_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/structs"
+)
+
+var _ = Describe("The copies at a backup", func() {
+	copyOf := func(j structs.Job, a *structs.Answer) claims.CopyReceived {
+		return claims.CopyReceived{Peer: "o", Copy: claims.Copy{JobID: j.ID, Digest: 1, DeadlineUnixMS: j.DeadlineUnixMS, Answer: a}}
+	}
+
+	// backup returns "a" as the backup of "o", and a job that it owns without "o".
+	backup := func() (*bench, structs.Job) {
+		b := newBench("a")
+		return b, jobAt(b.now, "a")
+	}
+
+	It("answer resubmissions after a takeover and never start a job", func() {
+		b, j := backup()
+		done := complete(j.ID)
+		b.step(copyOf(j, nil))
+		Expect(only(b.step(claims.Submit{Request: 1, Job: j, Digest: 1})).Reason).To(Equal(structs.ReasonOwnerLost))
+		b.step(copyOf(j, &done))
+		Expect(only(b.step(claims.Submit{Request: 2, Job: j, Digest: 1}))).To(Equal(done))
+		Expect(only(b.step(claims.Submit{Request: 3, Job: j, Digest: 2})).Reason).To(Equal(structs.ReasonBodyMismatch))
+	})
+
+	It("still answer when the second instance is lost right after a repair", func() {
+		// o admitted and finished the job, a took over and copied to c, a is lost.
+		b, j := backup()
+		done := complete(j.ID)
+		b.step(copyOf(j, &done))
+		unfinished := jobAt(b.now.Add(time.Millisecond), "a")
+		b.step(copyOf(unfinished, nil))
+		effects := b.step(claims.MembersChanged{Epoch: 2, Members: []string{"a", "c"}})
+		effects = append(effects, b.after(time.Millisecond)...)
+
+		c := claims.New(claims.Options{Instance: "c", Start: b.now})
+		c.Step(b.now, claims.MembersChanged{Epoch: 2, Members: []string{"a", "c"}})
+		for _, e := range effects {
+			if s, ok := e.(claims.SendCopy); ok {
+				Expect(s.Peer).To(Equal("c"))
+				c.Step(b.now, claims.CopyReceived{Peer: "a", Copy: s.Copy})
+			}
+		}
+		c.Step(b.now, claims.MembersChanged{Epoch: 3, Members: []string{"c"}})
+		c.Step(b.now, claims.LeaseChanged{Held: true, Epoch: 3, Confirmed: true})
+		never := jobAt(b.now.Add(500*time.Millisecond), "a")
+		c.Ready()
+		c.Step(b.now, claims.Submit{Request: 1, Job: j, Digest: 1})
+		c.Step(b.now, claims.Submit{Request: 2, Job: unfinished, Digest: 1})
+		c.Step(b.now, claims.Submit{Request: 3, Job: never, Digest: 1})
+		answers := replies(c.Ready())
+		Expect(answers).To(HaveLen(3))
+		Expect(answers[0].Answer).To(Equal(done))
+		Expect(answers[1].Answer.Reason).To(Equal(structs.ReasonOwnerLost))
+		Expect(answers[2].Answer.Reason).To(Equal(structs.ReasonHorizon))
+	})
+
+	It("go back to a restarted owner, which answers unknown for what it forgot", func() {
+		b := newBench("a", "o")
+		j := jobAt(b.now, "a", "o")
+		for low := uint64(1); claims.Owner([]string{"a", "o"}, claims.Partition(j.ID)) != "o"; low++ {
+			j.ID = structs.JobIDAt(b.now, low)
+		}
+		b.step(copyOf(j, nil))
+		b.step(claims.Submit{Request: 1, Job: j, Digest: 1})
+		effects := b.step(claims.PeerRestarted{Peer: "o"})
+		Expect(only(effects).Reason).To(Equal(structs.ReasonOwnerLost))
+		effects = b.after(time.Millisecond)
+		Expect(effects).To(HaveLen(1))
+		sent := effects[0].(claims.SendCopy)
+		o := claims.New(claims.Options{Instance: "o", Start: b.now})
+		o.Step(b.now, claims.MembersChanged{Epoch: 1, Members: []string{"a", "o"}})
+		o.Step(b.now, claims.CopyReceived{Peer: "a", Copy: sent.Copy})
+		o.Step(b.now, claims.Submit{Request: 1, Job: j, Digest: 1})
+		Expect(only(o.Ready()).Reason).To(Equal(structs.ReasonOwnerLost))
+	})
+})
+
+var _ = Describe("An owner", func() {
+	It("that was not a member in between takes its partitions over anew", func() {
+		b := newBench("a")
+		b.step(claims.MembersChanged{Epoch: 3, Members: []string{"a"}, Rejoined: true})
+		Expect(only(b.step(claims.Submit{Request: 1, Job: jobAt(b.now, "a")})).Reason).To(Equal(structs.ReasonHorizon))
+	})
+
+	It("whose clock is off refuses new jobs, and trusts no earlier ID afterwards", func() {
+		b := newBench("a")
+		b.step(claims.ClockChanged{Skewed: true})
+		a := only(b.step(claims.Submit{Request: 1, Job: jobAt(b.now, "a")}))
+		Expect(a.Outcome).To(Equal(structs.OutcomeNotRun))
+		Expect(a.Reason).To(Equal(structs.ReasonClockSkew))
+		b.step(claims.ClockChanged{})
+		fresh := jobAt(b.now.Add(time.Second), "a")
+		Expect(only(b.step(claims.Submit{Request: 2, Job: fresh})).Reason).To(Equal(structs.ReasonHorizon))
+	})
+
+	It("keeps its memory bounded without forgetting that a job ran", func() {
+		b := &bench{now: start, Core: claims.New(claims.Options{
+			Instance: "a", Start: start, MaxRecords: 2, MaxAnswerBytes: 40,
+		})}
+		b.step(claims.MembersChanged{Epoch: 1, Members: []string{"a"}})
+		b.step(claims.LeaseChanged{Held: true})
+		b.now = start.Add(ready)
+		var jobs []structs.Job
+		for i := range claims.RequestID(3) {
+			j := jobAt(b.now.Add(time.Duration(i)*time.Millisecond), "a")
+			jobs = append(jobs, j)
+			b.step(claims.Submit{Request: i, Job: j})
+			b.step(claims.JobAdmitted{JobID: j.ID})
+			b.step(claims.JobFinished{Answer: complete(j.ID)})
+		}
+		Expect(only(b.step(claims.Submit{Request: 9, Job: jobs[0]})).Outcome).To(Equal(structs.OutcomeUnknown))
+		Expect(only(b.step(claims.Submit{Request: 9, Job: jobs[1]})).Outcome).To(Equal(structs.OutcomeComplete))
+		Expect(only(b.step(claims.Submit{Request: 9, Job: jobs[2]})).Reason).To(Equal(structs.ReasonNoCapacity))
+	})
+})
