--- a/claims/handover_test.go
+++ b/claims/handover_test.go
@@ -120,6 +120,13 @@
 		handedOver(p.step(p.a, claims.Tick{}))
 	})
 
+	It("records nothing new once the records are handed over", func() {
+		p := newPair()
+		handedOver(p.step(p.a, claims.Drain{}))
+		cancelled := only(p.step(p.a, claims.Cancel{Request: 1, JobID: jobAt(p.now, "a", "b").ID}))
+		Expect(cancelled.Outcome).To(Equal(structs.OutcomeUnknown))
+	})
+
 	It("waits for the running jobs", func() {
 		p := newPair()
 		j := jobAt(p.now, "a", "b")
--- a/claims/options.go
+++ b/claims/options.go
@@ -23,8 +23,9 @@
 }
 
 const (
-	// defaultMaxRecords covers 17,000 jobs/s over the retention time.
-	defaultMaxRecords = 1 << 20
+	// defaultMaxRecords covers 8,700 jobs/s over the retention time. A refusal
+	// takes about 360 bytes, so that the table stays below 200 MB.
+	defaultMaxRecords = 1 << 19
 	// defaultMaxAnswerBytes is 32 MiB.
 	defaultMaxAnswerBytes = 32 << 20
 	// maxFutureRecords bounds the refusals of IDs from the future. They are
