Let the last member leave only after it has settled

The voters expired b; a, the only member left, departed at once; c joined the empty data centre and was confirmed without anybody waiting out the promise.

Ruled out: keeping the members of past epochs in the agreement; the promise is known to the leaving instance only, so that it has to wait itself.

A spec of its own holds the rule. Force now asks the operator for a process that has been stopped for longer than lease.Wait, for the same reason. Conclusion: the argument in claims/lease/doc.go lacked the case of an empty member list.

--- a/claims/lease/agreement.go
+++ b/claims/lease/agreement.go
@@ -118,11 +118,17 @@
 // those of its earlier membership, without keeping removed members.
 const renewalsPerEpochBits = 32
 
+// depart lets the last member go only after it has settled. Until then it may be
+// bound by a promise to a removed member that still acts, and nobody else would
+// know of it.
 func (a *Agreement) depart(cmd Command) bool {
 	m := a.Members[cmd.Instance]
 	if m == nil || cmd.Epoch != a.Epoch || cmd.Renewals != m.Renewals {
 		return false
 	}
+	if len(a.Members) == 1 && !cmd.Settled && m.Settled != a.Epoch {
+		return false
+	}
 	delete(a.Members, cmd.Instance)
 	a.begin(cmd.Instance, cmd.Token)
 	return true
--- a/claims/lease/command.go
+++ b/claims/lease/command.go
@@ -13,7 +13,8 @@
 	Depart
 	// Expire removes a member whose lease has ended, at the leader's request.
 	Expire
-	// Force removes a member that an operator states to be stopped.
+	// Force removes a member that an operator states to have been stopped for
+	// longer than Wait.
 	Force
 )
 
@@ -24,7 +25,7 @@
 	// Epoch is the epoch the command was made for. All kinds but Join are
 	// refused in any other epoch.
 	Epoch uint64
-	// Settled, on Renew, says that the instance has given up the partitions it
+	// Settled, on Renew and Depart, says that the instance has given up the partitions it
 	// does not own in Epoch and is bound by no promise to an instance that is
 	// not a member in Epoch.
 	Settled bool
--- a/claims/lease/depart_test.go
+++ b/claims/lease/depart_test.go
@@ -24,6 +24,17 @@
 		Expect(a.Apply(leave).Granted).To(BeFalse())
 		Expect(a.Apply(remove(a, lease.Depart, "a")).Granted).To(BeTrue())
 	})
+
+	// Guards against an instance that joins the empty data centre and acts while
+	// a removed member still acts under a promise of the one that left.
+	It("of the last member waits until it has settled", func() {
+		a := joined("a", "b")
+		Expect(a.Apply(remove(a, lease.Expire, "b")).Granted).To(BeTrue())
+		leave := remove(a, lease.Depart, "a")
+		Expect(a.Apply(leave).Granted).To(BeFalse())
+		leave.Settled = true
+		Expect(a.Apply(leave).Granted).To(BeTrue())
+	})
 })
 
 var _ = Describe("An agreement", func() {
--- a/claims/lease/doc.go
+++ b/claims/lease/doc.go
@@ -26,10 +26,11 @@
 //   - Renew: the instance is a member and names the current epoch.
 //   - Join: every member has settled in the current epoch.
 //   - Depart: as Renew, and the count of renewals is the one the command names.
-//   - Expire: as Depart. Members that the expired one may not know of are
+//     The last member has to be settled.
+//   - Expire: as Renew, with the same count. Members that the expired one may not know of are
 //     removed with it, and it is refused if nobody would remain.
 //   - Force: the member is removed at once. It is for an operator who states
-//     that the process has stopped; no other command removes a sole member that
+//     that the process has been stopped for longer than Wait; no other command removes a sole member that
 //     is dead.
 //
 // The leader calls Watch.Due at least once per renewal interval, on its monotonic
--- a/claims/lease/renewal.go
+++ b/claims/lease/renewal.go
@@ -87,7 +87,7 @@
 // depart names the hand-over only in the epoch it was made for: in a later one
 // others may have owned the partitions in the meantime.
 func (c *Core) depart() Command {
-	cmd := Command{Kind: Depart, Epoch: c.view.Epoch, Renewals: c.renewals}
+	cmd := Command{Kind: Depart, Epoch: c.view.Epoch, Settled: c.settled(), Renewals: c.renewals}
 	if c.leaving.Epoch == c.view.Epoch {
 		cmd.Token = c.leaving.Token
 	}
