Add the membership core: failure detector, view, clock comparison

Cause: routing and slot managers need a view of the live instances whose cost does not grow with their number, and claims must know when its clock is off.

--- /dev/null
+++ b/membership/core.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Core is the failure detector of one instance. The invariants are:
+//
+//   - The incarnation of a member never goes back, nor its status within one.
+//   - Only the instance itself raises its incarnation.
+//   - live holds exactly the members that are alive or suspected, and this
+//     instance until it leaves.
+type Core struct {
+	opts Options
+	rng  *rand.Rand
+	now  time.Time
+	self Update
+
+	members map[string]*member
+	live    []string // in order of names
+	order   []string // other live members, in the order of probes
+	next    int      // index in order
+	page    int      // index in order of the members to repeat next
+	urgent  []string // members to probe before the next in order
+
+	probe     *probe
+	sequence  uint64
+	probeAt   time.Time
+	reviveAt  time.Time
+	suspects  []suspicion // in order of time
+	graveyard []burial    // in order of time
+	gossip    gossip
+	clocks    []clockSample
+	skewed    bool
+	synced    bool // a list of all members has arrived
+	effects   []Effect
+}
+
+// member is what this instance knows of another one.
+type member struct {
+	Update
+	heard time.Time // last direct sign of life
+}
+
+type suspicion struct {
+	Update
+	since time.Time
+}
+
+type burial struct {
+	name string
+	at   time.Time
+}
+
+// New returns a core that knows only its own instance.
+func New(opts Options) *Core {
+	return &Core{
+		opts:    opts,
+		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Incarnation)),
+		self:    Update{Name: opts.Instance, Incarnation: opts.Incarnation, Status: Alive},
+		members: make(map[string]*member),
+		live:    []string{opts.Instance},
+		gossip:  newGossip(),
+	}
+}
+
+// Live returns the names of the members that are alive or suspected, this
+// instance included, in order. It must not be changed and is valid until the
+// next Step.
+func (c *Core) Live() []string { return c.live }
+
+// Step takes one event.
+func (c *Core) Step(now time.Time, ev Event) {
+	c.now = now
+	switch e := ev.(type) {
+	case PeerFound:
+		c.learn(Update{Name: e.Peer, Incarnation: e.Incarnation, Status: Alive})
+	case HeartbeatReceived:
+		c.heard(e.Peer)
+		c.sampleClock(e.Peer, e.Clock.Sub(now))
+	case LinkLost:
+		c.probeSoon(e.Peer)
+	case MessageReceived:
+		c.received(&e.Message)
+	case Leave:
+		c.leave()
+	case Tick:
+	}
+	c.timers()
+}
+
+// Ready returns the effects since the last call, in order.
+func (c *Core) Ready() []Effect {
+	out := c.effects
+	c.effects = nil
+	return out
+}
+
+// NextWake returns when the next Tick is due.
+func (c *Core) NextWake() (time.Time, bool) {
+	if c.self.Status != Alive {
+		return time.Time{}, false
+	}
+	if c.probe != nil && !c.probe.indirect {
+		return c.probe.sent.Add(ackTimeout), true
+	}
+	return c.probeAt, true
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+// apply takes a statement about a member and passes it on if it is new.
+func (c *Core) apply(u Update) {
+	if c.learn(u) {
+		c.gossip.add(u)
+	}
+}
+
+// learn takes a statement about a member and says whether it is new.
+func (c *Core) learn(u Update) bool {
+	if u.Name == c.opts.Instance {
+		c.refute(u)
+		return false
+	}
+	m := c.members[u.Name]
+	if m != nil && !u.newerThan(m.Update) {
+		return false
+	}
+	if m == nil && !u.live() {
+		return false
+	}
+	wasLive := m != nil && m.live()
+	if m == nil {
+		m = &member{}
+		c.members[u.Name] = m
+	}
+	m.Update = u
+	c.changed(m, wasLive)
+	return true
+}
+
+// changed updates the view and the timers after a change of a member.
+func (c *Core) changed(m *member, wasLive bool) {
+	if m.Status == Suspect {
+		c.suspects = append(c.suspects, suspicion{m.Update, c.now})
+		c.emit(MemberSuspected{Name: m.Name})
+		c.tellSuspect(m.Name)
+	}
+	switch {
+	case m.live() && !wasLive:
+		c.insert(m.Name)
+		c.emit(MemberUp{Name: m.Name})
+	case !m.live() && wasLive:
+		c.remove(m.Name)
+		c.graveyard = append(c.graveyard, burial{m.Name, c.now})
+		c.emit(MemberDown{Name: m.Name, Left: m.Status == Gone})
+	}
+}
+
+// insert adds a member at a random place of the probes, so that members are not
+// all probed at the same time by instances that learned of them together.
+func (c *Core) insert(name string) {
+	if i, found := slices.BinarySearch(c.live, name); !found {
+		c.live = slices.Insert(c.live, i, name)
+	}
+	at := c.rng.IntN(len(c.order) + 1)
+	c.order = append(c.order, name)
+	last := len(c.order) - 1
+	c.order[at], c.order[last] = c.order[last], c.order[at]
+}
+
+func (c *Core) remove(name string) {
+	if i, found := slices.BinarySearch(c.live, name); found {
+		c.live = slices.Delete(c.live, i, i+1)
+	}
+	if i := slices.Index(c.order, name); i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
+}
+
+// refute raises the incarnation above a statement that this instance is gone.
+func (c *Core) refute(u Update) {
+	if u.Status == Alive || u.Incarnation < c.self.Incarnation || c.self.Status != Alive {
+		return
+	}
+	c.self.Incarnation = u.Incarnation + 1
+	c.gossip.add(c.self)
+}
--- /dev/null
+++ b/membership/core_test.go
@@ -0,0 +1,146 @@
+package membership_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/membership"
+)
+
+var _ = Describe("A group", func() {
+	It("agrees on its members and loses none without faults", func() {
+		g := newGroup(1, 20)
+		g.runFor(60 * time.Second)
+		for _, name := range g.names {
+			Expect(g.nodes[name].Live()).To(Equal(g.names))
+			Expect(g.nodes[name].downs).To(BeEmpty())
+		}
+	})
+
+	It("finds a dead member everywhere", func() {
+		g := newGroup(2, 20)
+		g.runFor(20 * time.Second)
+		g.nodes["i0007"].up = false
+		g.runFor(15 * time.Second)
+		for _, name := range g.running() {
+			Expect(g.nodes[name].Live()).To(Equal(g.running()))
+			Expect(g.nodes[name].downs).To(Equal([]membership.MemberDown{{Name: "i0007"}}))
+		}
+	})
+
+	It("keeps a member that some cannot reach directly", func() {
+		g := newGroup(3, 10)
+		g.runFor(20 * time.Second)
+		for _, peer := range g.names[:4] {
+			g.cut[pair("i0009", peer)] = true
+		}
+		g.runFor(60 * time.Second)
+		for _, name := range g.names {
+			Expect(g.nodes[name].downs).To(BeEmpty())
+		}
+	})
+
+	It("reports a graceful leave as such", func() {
+		g := newGroup(4, 20)
+		g.runFor(20 * time.Second)
+		g.do("i0003", membership.Leave{})
+		g.nodes["i0003"].up = false
+		g.runFor(3 * time.Second)
+		for _, name := range g.running() {
+			Expect(g.nodes[name].downs).To(Equal([]membership.MemberDown{{Name: "i0003", Left: true}}))
+		}
+	})
+
+	It("comes together again after a partition", func() {
+		g := newGroup(5, 10)
+		g.runFor(20 * time.Second)
+		for _, a := range g.names[:5] {
+			for _, b := range g.names[5:] {
+				g.cut[pair(a, b)] = true
+			}
+		}
+		g.runFor(60 * time.Second)
+		Expect(g.nodes["i0000"].Live()).To(Equal(g.names[:5]))
+		clear(g.cut)
+		g.runFor(60 * time.Second)
+		for _, name := range g.names {
+			Expect(g.nodes[name].Live()).To(Equal(g.names))
+		}
+	})
+
+	It("has only the instance with the wrong clock report it", func() {
+		g := newGroup(6, 7)
+		g.nodes["i0002"].offset = 600 * time.Millisecond
+		g.nodes["i0004"].offset = -400 * time.Millisecond
+		g.runFor(30 * time.Second)
+		for _, name := range g.names {
+			Expect(g.nodes[name].skewed).To(Equal(name == "i0002"), name)
+		}
+	})
+})
+
+var _ = Describe("A core", func() {
+	var (
+		c   *membership.Core
+		now time.Time
+	)
+	step := func(ev membership.Event) []membership.Effect {
+		c.Step(now, ev)
+		return c.Ready()
+	}
+	received := func(from string, updates ...membership.Update) []membership.Effect {
+		return step(membership.MessageReceived{Message: membership.Message{
+			Kind: membership.Ack, From: from, Incarnation: 5, Updates: updates,
+		}})
+	}
+	BeforeEach(func() {
+		now = start
+		c = membership.New(membership.Options{Instance: "a", Incarnation: 10})
+		received("b")
+	})
+
+	It("takes a heartbeat as the answer to a probe, after others were asked as well", func() {
+		now = now.Add(membership.ProbeInterval)
+		step(membership.Tick{})
+		now = now.Add(membership.ProbeInterval / 2)
+		step(membership.Tick{})
+		now = now.Add(time.Millisecond)
+		step(membership.HeartbeatReceived{Peer: "b", Clock: now})
+		now = now.Add(membership.ProbeInterval / 2)
+		Expect(step(membership.Tick{})).NotTo(ContainElement(membership.MemberSuspected{Name: "b"}))
+	})
+
+	It("repeats members whose changes may have been lost", func() {
+		step(membership.PeerFound{Peer: "c", Incarnation: 7})
+		effects := step(membership.MessageReceived{Message: membership.Message{Kind: membership.Ping, From: "b", Incarnation: 5}})
+		Expect(effects[len(effects)-1].(membership.Send).Message.Updates).To(ContainElement(
+			membership.Update{Name: "c", Incarnation: 7, Status: membership.Alive}))
+	})
+
+	It("does not blame its clock if one of two peers agrees with it", func() {
+		received("c")
+		Expect(step(membership.HeartbeatReceived{Peer: "b", Clock: now})).To(BeEmpty())
+		Expect(step(membership.HeartbeatReceived{Peer: "c", Clock: now.Add(time.Second)})).To(BeEmpty())
+		Expect(step(membership.HeartbeatReceived{Peer: "b", Clock: now.Add(time.Second)})).To(ContainElement(
+			membership.ClockChanged{Skewed: true, Offset: -time.Second}))
+	})
+
+	It("refutes a suspicion of itself with a higher incarnation", func() {
+		received("b", membership.Update{Name: "a", Incarnation: 12, Status: membership.Suspect})
+		now = now.Add(membership.ProbeInterval)
+		effects := step(membership.MessageReceived{Message: membership.Message{Kind: membership.Ping, From: "b", Incarnation: 5}})
+		Expect(effects).NotTo(BeEmpty())
+		Expect(effects[0].(membership.Send).Message.Incarnation).To(Equal(uint64(13)))
+	})
+
+	It("is not told by old messages that a dead member lives", func() {
+		dead := membership.Update{Name: "b", Incarnation: 5, Status: membership.Dead}
+		Expect(received("c", dead)).To(ContainElement(membership.MemberDown{Name: "b"}))
+		received("c", membership.Update{Name: "b", Incarnation: 5, Status: membership.Alive})
+		Expect(c.Live()).To(Equal([]string{"a", "c"}))
+		received("c", membership.Update{Name: "b", Incarnation: 6, Status: membership.Alive})
+		Expect(c.Live()).To(Equal([]string{"a", "b", "c"}))
+	})
+})
--- /dev/null
+++ b/membership/effects.go
@@ -0,0 +1,37 @@
+package membership
+
+import "time"
+
+// Effect is an output of the core, to be carried out by its owner.
+type Effect interface{ isEffect() }
+
+// Send sends a message. It may be lost.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// MemberUp says that an instance is in the view now.
+type MemberUp struct{ Name string }
+
+// MemberSuspected says that an instance does not answer. It stays in the view.
+type MemberSuspected struct{ Name string }
+
+// MemberDown says that an instance is not in the view any more.
+type MemberDown struct {
+	Name string
+	Left bool // gracefully
+}
+
+// ClockChanged says whether this instance's clock is too far from the median of
+// its peers' clocks, for claims.ClockChanged.
+type ClockChanged struct {
+	Skewed bool
+	Offset time.Duration // of this clock, positive if it is ahead
+}
+
+func (Send) isEffect()            {}
+func (MemberUp) isEffect()        {}
+func (MemberSuspected) isEffect() {}
+func (MemberDown) isEffect()      {}
+func (ClockChanged) isEffect()    {}
--- /dev/null
+++ b/membership/message.go
@@ -0,0 +1,58 @@
+package membership
+
+// Kind says what a message asks for.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	// Ping asks for an Ack.
+	Ping Kind = iota + 1
+	// Ack answers a Ping, or passes on the Ack of Subject.
+	Ack
+	// PingRequest asks the receiver to ping Subject.
+	PingRequest
+	// SyncRequest asks for all members; Sync brings them.
+	SyncRequest
+	Sync
+)
+
+// Message is what instances send to each other. It has no maps and no pointers,
+// so that any serializer can carry it.
+type Message struct {
+	Kind        Kind     `json:"kind"`
+	From        string   `json:"from"`
+	Incarnation uint64   `json:"incarnation"` // of From
+	Sequence    uint64   `json:"sequence,omitempty"`
+	Subject     string   `json:"subject,omitempty"`
+	For         string   `json:"for,omitempty"` // instance that asked for an indirect probe
+	ClockUnixMS int64    `json:"clock_unix_ms"`
+	Updates     []Update `json:"updates,omitempty"`
+}
+
+// Update is what the sender knows of one member.
+type Update struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Status      Status `json:"status"`
+}
+
+// Status is the state of a member. Among equal incarnations the higher one wins.
+type Status uint8
+
+// States of a member.
+const (
+	Alive Status = iota + 1
+	Suspect
+	Dead
+	Gone // left gracefully
+)
+
+// newerThan says whether an update replaces another one of the same member.
+func (u Update) newerThan(other Update) bool {
+	if u.Incarnation != other.Incarnation {
+		return u.Incarnation > other.Incarnation
+	}
+	return u.Status > other.Status
+}
+
+func (u Update) live() bool { return u.Status == Alive || u.Status == Suspect }
--- /dev/null
+++ b/membership/receive.go
@@ -0,0 +1,106 @@
+package membership
+
+import "time"
+
+// send completes a message with what is to be passed on.
+func (c *Core) send(to string, m Message) {
+	m.From = c.opts.Instance
+	m.Incarnation = c.self.Incarnation
+	m.ClockUnixMS = c.now.UnixMilli()
+	if m.Kind != Sync {
+		m.Updates = c.updatesFor(to)
+	}
+	c.emit(Send{To: to, Message: m})
+}
+
+// updatesFor returns the receiver's state if it is not alive here, so that it can
+// refute that, some recent changes, and some members in turn.
+func (c *Core) updatesFor(to string) []Update {
+	updates := make([]Update, 0, 1+updatesPerMessage+pagePerMessage)
+	if m := c.members[to]; m != nil && m.Status != Alive {
+		updates = append(updates, m.Update)
+	}
+	updates = c.gossip.take(updates, sendsPerDoubling*doublings(len(c.live)))
+	for range min(pagePerMessage, len(c.order)) {
+		c.page = (c.page + 1) % len(c.order)
+		updates = append(updates, c.members[c.order[c.page]].Update)
+	}
+	return updates
+}
+
+func (c *Core) received(m *Message) {
+	if c.self.Status != Alive || m.From == c.opts.Instance {
+		return
+	}
+	for _, u := range m.Updates {
+		if m.Kind == Sync {
+			c.learn(u) // others know it
+			continue
+		}
+		c.apply(u)
+	}
+	if !c.leftBy(m) {
+		c.apply(Update{Name: m.From, Incarnation: m.Incarnation, Status: Alive})
+	}
+	c.heard(m.From)
+	switch m.Kind {
+	case Ping:
+		c.send(m.From, Message{Kind: Ack, Sequence: m.Sequence, For: m.For})
+	case PingRequest:
+		c.send(m.Subject, Message{Kind: Ping, Sequence: m.Sequence, For: m.From})
+	case Ack:
+		c.acked(m)
+	case SyncRequest:
+		c.send(m.From, Message{Kind: Sync, Updates: c.all()})
+	case Sync:
+		c.synced = true
+	}
+}
+
+// leftBy says whether the message announces that its sender leaves.
+func (c *Core) leftBy(m *Message) bool {
+	from := c.members[m.From]
+	return from != nil && from.Status == Gone && from.Incarnation >= m.Incarnation
+}
+
+func (c *Core) acked(m *Message) {
+	if m.For != "" && m.For != c.opts.Instance {
+		c.send(m.For, Message{Kind: Ack, Sequence: m.Sequence, Subject: m.From})
+		return
+	}
+	p := c.probe
+	if p == nil || m.Sequence != p.sequence {
+		return
+	}
+	if m.Subject == p.target {
+		p.answered = true
+		return
+	}
+	if m.From == p.target {
+		p.answered = true
+		c.sampleClock(m.From, c.clockOffset(p, m))
+	}
+}
+
+// clockOffset compares the peer's clock with the middle of the round trip.
+func (c *Core) clockOffset(p *probe, m *Message) time.Duration {
+	middle := p.sent.Add(c.now.Sub(p.sent) / 2)
+	return time.UnixMilli(m.ClockUnixMS).Sub(middle)
+}
+
+func (c *Core) heard(peer string) {
+	if m := c.members[peer]; m != nil {
+		m.heard = c.now
+	}
+}
+
+// all returns the state of all members, this instance included.
+func (c *Core) all() []Update {
+	updates := []Update{c.self}
+	for _, name := range c.live {
+		if m := c.members[name]; m != nil {
+			updates = append(updates, m.Update)
+		}
+	}
+	return updates
+}
