Predict waits from the slots an instance really gets

Cause: an instance with few targets predicted waits for an equal part of the data centre's slots, which its peers do not give while they are saturated, so its jobs were admitted and then missed their deadlines.

Change: the capacity of an instance is its own slots plus what it borrows and is offered less what it lends, smoothed over 2 s; other classes are counted by the usual number of attempts of this instance's own jobs; waits are doubled.

The price is that more work of the last rank is refused near the limit of the capacity.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -51,7 +51,7 @@
 	if j.class.queued()+len(j.spec.Tasks) > j.class.maxQueue() {
 		return structs.ReasonQueueFull, "the queue of the class is full"
 	}
-	if c.capacity() == 0 {
+	if !c.anyTarget() {
 		return structs.ReasonNoCapacity, "no target is usable"
 	}
 	for i := range j.spec.Tasks {
@@ -68,6 +68,16 @@
 	return "", ""
 }
 
+// anyTarget reports whether this instance or a peer has a usable target.
+func (c *Core) anyTarget() bool {
+	for _, p := range c.peers {
+		if p.total > 0 || p.free > 0 {
+			return true
+		}
+	}
+	return c.fleet.total > 0
+}
+
 // canFit reports whether any target of this instance or of a peer could ever
 // run the task.
 func (c *Core) canFit(class string, t *structs.Task) bool {
--- a/dispatch/allocate.go
+++ b/dispatch/allocate.go
@@ -44,11 +44,11 @@
 // presentLoad is what the class asks for now, or at least usually asks for:
 // waits last longer than the pauses between bursts.
 func presentLoad(cl *class) float64 {
-	return float64(max(cl.running+cl.queued(), cl.baseline.usual))
+	return max(float64(cl.running+cl.queued()), cl.baseline.usualRunning())
 }
 
 // usualLoad is what the class asks for on average.
-func usualLoad(cl *class) float64 { return float64(cl.baseline.usual) }
+func usualLoad(cl *class) float64 { return cl.baseline.usualRunning() }
 
 // entitlement returns the slots that the two passes give to a class out of
 // capacity when it demands the given number and the others their load. The
@@ -106,7 +106,7 @@
 		if cl == of {
 			break
 		}
-		sum += max(0, float64(cl.running+cl.queued()-cl.baseline.usual))
+		sum += max(0, float64(cl.running+cl.queued())-cl.baseline.usualRunning())
 	}
 	return sum
 }
--- a/dispatch/baseline.go
+++ b/dispatch/baseline.go
@@ -24,11 +24,12 @@
 // baseline is the number of slots protected for a class: a declared share, or
 // the learned demand.
 type baseline struct {
-	slots  int
-	usual  int     // mean of the learned demand, or the declared share
-	mean   float64 // slots in use, smoothed
-	square float64 // square of the slots in use, smoothed
-	weight float64 // part of the averages that is based on samples, 0 to 1
+	slots   int
+	usual   int     // mean of the learned demand, or the declared share
+	mean    float64 // slots in use, smoothed
+	square  float64 // square of the slots in use, smoothed
+	running float64 // attempts of this instance's jobs, smoothed
+	weight  float64 // part of the averages that is based on samples, 0 to 1
 
 	arrived  float64 // run time offered since the last look, in seconds
 	offered  float64 // run time offered per time, in slots, smoothed
@@ -59,12 +60,22 @@
 	b.flooding = b.offered > floodFactor*float64(b.usual) && b.offered > capacity
 }
 
-// learn adds a sample of the slots in use. The caller skips it while work waits
+// usualRunning returns the usual number of attempts of this instance's jobs,
+// wherever they run.
+func (b *baseline) usualRunning() float64 {
+	if b.weight == 0 {
+		return 0
+	}
+	return b.running / b.weight
+}
+
+// learn adds a sample of the slots in use and of the running attempts. The caller skips it while work waits
 // for slots, so that neither a flood nor what it displaces changes the baseline.
-func (b *baseline) learn(usage int, interval time.Duration) {
+func (b *baseline) learn(usage, running int, interval time.Duration) {
 	rate := 1 - math.Exp(-float64(interval)/float64(baselineTime))
 	u := float64(usage)
 	b.mean += rate * (u - b.mean)
+	b.running += rate * (float64(running) - b.running)
 	b.square += rate * (u*u - b.square)
 	b.weight += rate * (1 - b.weight)
 }
--- a/dispatch/borrow.go
+++ b/dispatch/borrow.go
@@ -190,6 +190,7 @@
 			return false
 		}
 		if c.mayStart(j, i) {
+			c.borrowed++
 			c.start(j, i, slot{ref: &loan.Target, peer: lender})
 			return true
 		}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -33,6 +33,10 @@
 	fleet   fleet
 	peers   []*peer
 	asks    int // requests of peers that wait for an answer
+	lent    int // slots of managed targets that peers hold
+	// borrowed is the number of attempts that run on loans.
+	borrowed  int
+	exchanged float64 // slots borrowed and offered less lent, smoothed
 
 	// Early-binding policies only.
 	unbound []attemptRef // waiting tasks without a target
@@ -149,9 +153,10 @@
 	interval := c.now - c.housekept
 	c.housekept = c.now
 	c.timers.set(&c.house, c.now+housekeepingInterval)
+	c.smoothExchange(interval)
 	for _, cl := range c.ranked {
 		if !c.saturated {
-			cl.baseline.learn(cl.usage, interval)
+			cl.baseline.learn(cl.usage, cl.running, interval)
 		}
 		cl.baseline.watch(c.capacity(), interval)
 		cl.baseline.refresh(cl.spec.SharePercent, c.fleet.total)
--- a/dispatch/lend.go
+++ b/dispatch/lend.go
@@ -65,6 +65,7 @@
 	}
 	t.loans = append(t.loans, lentSlot{peer: a.peer, class: cl, at: c.now})
 	cl.usage++
+	c.lent++
 	c.refresh(t)
 	a.granted = append(a.granted, SlotLoan{
 		Target: *t.ref, Expires: c.base.Add(c.now + structs.SlotLease), Cores: t.ann.Cores, MB: t.ann.MB,
@@ -129,6 +130,7 @@
 	for i := range t.loans {
 		if match(&t.loans[i]) {
 			t.loans[i].class.usage--
+			c.lent--
 		} else {
 			kept = append(kept, t.loans[i])
 		}
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -9,18 +9,34 @@
 
 // waitMargin is the factor on predicted waits: work of higher ranks that arrives
 // later passes the job, and a late refusal costs the caller more than an early.
-const waitMargin = 1.5
+const waitMargin = 2.0
 
-// capacity returns the slots that the jobs of this instance can expect: its
-// part of the data centre's, or its own if it knows no peers' totals.
+// capacity returns the slots that the jobs of this instance can expect: its own
+// less the lent ones, the borrowed ones, and those that peers offer. An equal
+// part of the data centre's slots would promise too much to an instance with few
+// targets, whose peers serve work of their own.
+// The part that depends on peers is smoothed: a burst of a second is no reason
+// to refuse work that may wait longer.
 func (c *Core) capacity() float64 {
-	own := float64(c.fleet.total)
-	sum, free := own, own
+	return max(0, float64(c.fleet.total)+c.exchanged)
+}
+
+// exchange returns the slots that this instance has, or can get, from its peers
+// less those that it lent.
+func (c *Core) exchange() int {
+	sum := c.borrowed - c.lent
 	for _, p := range c.peers {
-		sum += float64(p.total)
-		free += float64(p.free)
+		sum += p.free
 	}
-	return max(own, sum/float64(len(c.peers)+1), free)
+	return sum
+}
+
+// exchangeTime is the time constant with which the exchange of slots is smoothed.
+const exchangeTime = 2 * time.Second
+
+func (c *Core) smoothExchange(interval time.Duration) {
+	rate := 1 - math.Exp(-float64(interval)/float64(exchangeTime))
+	c.exchanged += rate * (float64(c.exchange()) - c.exchanged)
 }
 
 // predict returns the time from now until the last task of the job would end,
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -41,6 +41,7 @@
 		j.class.runtimes.record(e.runMS)
 	}
 	if t.slot.target == nil {
+		c.borrowed--
 		c.emit(ReturnSlot{
 			Peer: t.slot.peer, TargetID: t.slot.ref.TargetID, Failed: e.failed, RunMS: e.runMS, Class: j.class.spec.Name,
 		})
