Order the jobs of a tenant by arrival and declared work

Change: within a tenant a job's place is its arrival plus a tenth of its declared slot time, in a heap per tenant queue.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -100,7 +100,9 @@
 	j.released = true
 	j.class.pending -= j.waiting
 	if c.opts.Policy == PolicyHawthorn {
-		c.enqueue(j, false)
+		j.enqueuedAt = c.now
+		c.setOrder(j)
+		c.enqueue(j)
 		return
 	}
 	j.class.waiting += j.waiting
--- a/dispatch/allocate.go
+++ b/dispatch/allocate.go
@@ -23,8 +23,8 @@
 func (cl *class) hasWork() bool { return len(cl.active) > 0 || len(cl.asks) > 0 }
 
 // reserve returns the free slots that a class beyond its baseline must leave to
-// the baselines of the others. Only a class that floods leaves any: a reserve
-// against ordinary bursts would delay them while slots stay free.
+// the baselines of the others. Only a class that floods leaves any: a
+// reserve against ordinary bursts would delay them while slots stay free.
 func (c *Core) reserve(beyond *class) int {
 	if !beyond.baseline.flooding {
 		return 0
@@ -32,12 +32,15 @@
 	reserved := 0
 	for _, cl := range c.ranked {
 		if cl != beyond {
-			reserved += max(0, cl.baseline.protected()-cl.usage)
+			reserved += cl.unused()
 		}
 	}
 	return reserved
 }
 
+// unused returns the protected slots that the class does not use.
+func (cl *class) unused() int { return max(0, cl.baseline.protected()-cl.usage) }
+
 // load is what the allocation assumes that a class asks for, in slots.
 type load func(cl *class) float64
 
--- a/dispatch/class.go
+++ b/dispatch/class.go
@@ -75,5 +75,5 @@
 	if len(cl.active) == 0 {
 		return nil
 	}
-	return cl.active[0].head
+	return cl.active[0].jobs[0]
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -44,7 +44,8 @@
 
 	leaseHeld bool
 	draining  bool
-	saturated bool // work waits for slots since the last step
+	sequence  time.Duration // counts released jobs
+	saturated bool          // work waits for slots since the last step
 }
 
 // New returns a core without targets, jobs, configuration or lease.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -60,8 +60,8 @@
 	message  string
 
 	queue      *tenantQueue // that holds the job; nil if none
-	prev       *job         // neighbours in the queue
-	following  *job
+	queueIndex int
+	order      time.Duration // place among the tenant's jobs
 	enqueuedAt time.Duration
 }
 
--- /dev/null
+++ b/dispatch/jobheap.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import "time"
+
+// workDelay is the delay in a tenant's order per declared slot time of a job.
+// Short jobs pass long ones, for which the same wait matters less, but a job
+// waits for later ones only for a tenth of its own work. A tenant that declares
+// falsely changes the order of its own jobs only.
+const workDelay = 0.1
+
+// jobHeap orders the jobs of a tenant.
+type jobHeap []*job
+
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, j int) bool { return h[i].order < h[j].order }
+
+func (h jobHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].queueIndex = i
+	h[j].queueIndex = j
+}
+
+// Push implements heap.Interface.
+func (h *jobHeap) Push(x any) {
+	j := x.(*job)
+	j.queueIndex = len(*h)
+	*h = append(*h, j)
+}
+
+// Pop implements heap.Interface.
+func (h *jobHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return j
+}
+
+// setOrder gives a job its place among the jobs of its tenant. The sequence
+// number, in nanoseconds, keeps jobs of one instant in the order of arrival.
+func (c *Core) setOrder(j *job) {
+	work := int64(0)
+	for i := range j.spec.Tasks {
+		work += j.spec.Tasks[i].DeclaredMS
+	}
+	c.sequence++
+	j.order = c.now + time.Duration(workDelay*float64(work))*time.Millisecond + c.sequence%time.Microsecond
+}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -1,15 +1,12 @@
 package dispatch
 
+import "container/heap"
+
 // enqueue makes the waiting tasks of a released job available for starts.
-func (c *Core) enqueue(j *job, front bool) {
+func (c *Core) enqueue(j *job) {
 	q := j.class.queue(j.tenant)
 	j.queue = q
-	if front {
-		q.pushFront(j)
-	} else {
-		q.pushBack(j)
-	}
-	j.enqueuedAt = c.now
+	heap.Push(&q.jobs, j)
 	q.waiting += j.waiting
 	j.class.waiting += j.waiting
 	q.refresh()
@@ -22,7 +19,7 @@
 		return
 	}
 	j.queue = nil
-	q.remove(j)
+	heap.Remove(&q.jobs, j.queueIndex)
 	q.waiting -= j.waiting
 	j.class.waiting -= j.waiting
 	if j.class.current == j {
@@ -45,7 +42,7 @@
 		return
 	}
 	if !j.parked {
-		c.enqueue(j, true)
+		c.enqueue(j)
 	}
 }
 
@@ -64,7 +61,7 @@
 	for _, j := range cl.parked {
 		j.parked = false
 		if j.waiting > 0 && !j.stopping {
-			c.enqueue(j, true)
+			c.enqueue(j)
 		}
 	}
 	clear(cl.parked)
--- a/dispatch/tenantqueue.go
+++ b/dispatch/tenantqueue.go
@@ -26,56 +26,21 @@
 func (t *tenant) atQuota() bool { return t.quota > 0 && t.running >= t.quota }
 
 // tenantQueue holds the released jobs of one tenant in one class that have
-// waiting tasks, first in, first out.
+// waiting tasks, in the order of job.order.
 type tenantQueue struct {
 	class   *class
 	tenant  *tenant
-	head    *job
-	tail    *job
+	jobs    jobHeap
 	waiting int
 	running int     // live attempts
 	vtime   float64 // milliseconds of slot time received, divided by the weight
 	index   int     // position in class.active plus one; 0 when not there
 }
 
-func (q *tenantQueue) pushBack(j *job) {
-	j.prev, j.following = q.tail, nil
-	if q.tail != nil {
-		q.tail.following = j
-	} else {
-		q.head = j
-	}
-	q.tail = j
-}
-
-func (q *tenantQueue) pushFront(j *job) {
-	j.prev, j.following = nil, q.head
-	if q.head != nil {
-		q.head.prev = j
-	} else {
-		q.tail = j
-	}
-	q.head = j
-}
-
-func (q *tenantQueue) remove(j *job) {
-	if j.prev != nil {
-		j.prev.following = j.following
-	} else {
-		q.head = j.following
-	}
-	if j.following != nil {
-		j.following.prev = j.prev
-	} else {
-		q.tail = j.prev
-	}
-	j.prev, j.following = nil, nil
-}
-
 // refresh puts the queue into the class's heap exactly if it may start a task.
 // A queue that comes back does not claim the time during which it was idle.
 func (q *tenantQueue) refresh() {
-	ready := q.head != nil && !q.tenant.atQuota()
+	ready := len(q.jobs) > 0 && !q.tenant.atQuota()
 	switch {
 	case ready && q.index == 0:
 		q.vtime = max(q.vtime, q.class.vclock)
