Leave headroom for the unused baselines of higher ranks

Change: a class beyond its baseline leaves the unused baselines of higher ranks free, up to a tenth of the slots.

--- a/dispatch/allocate.go
+++ b/dispatch/allocate.go
@@ -23,11 +23,11 @@
 func (cl *class) hasWork() bool { return len(cl.active) > 0 || len(cl.asks) > 0 }
 
 // reserve returns the free slots that a class beyond its baseline must leave to
-// the baselines of the others. Only a class that floods leaves any: a
-// reserve against ordinary bursts would delay them while slots stay free.
+// the baselines of the others. Only a class that floods leaves all of them: a
+// full reserve against ordinary bursts would delay them while slots stay free.
 func (c *Core) reserve(beyond *class) int {
 	if !beyond.baseline.flooding {
-		return 0
+		return c.headroom(beyond)
 	}
 	reserved := 0
 	for _, cl := range c.ranked {
@@ -38,6 +38,23 @@
 	return reserved
 }
 
+// headroomPart bounds the slots that a class beyond its baseline leaves to higher
+// ranks, as a part of all.
+const headroomPart = 0.1
+
+// headroom returns the free slots that a class beyond its baseline leaves to the
+// unused baselines of higher ranks, so that their short tasks rarely wait.
+func (c *Core) headroom(beyond *class) int {
+	reserved := 0
+	for _, cl := range c.ranked {
+		if cl == beyond {
+			break
+		}
+		reserved += cl.unused()
+	}
+	return min(reserved, int(headroomPart*float64(c.fleet.total)))
+}
+
 // unused returns the protected slots that the class does not use.
 func (cl *class) unused() int { return max(0, cl.baseline.protected()-cl.usage) }
 
