Test the policy and the goals; let instances without targets admit work

Cause: the queue policy, target health and slot loans were tested through random schedules and experiments only, and the goals had no test.

Fault found by the new specs and fixed: an instance that manages no target refused every job, because its smoothed exchange of slots began at zero, and with saturated peers it would have refused and so never borrowed. A new peer's offer now counts at once, and an instance expects at least a quarter of its equal part of the data centre.

--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -57,6 +57,7 @@
 	if p == nil {
 		p = &peer{name: e.Peer, asked: make(map[string]*loanRequest), refusals: make(map[string]*refusal)}
 		c.peers = append(c.peers, p)
+		c.exchanged += float64(e.Free)
 		c.splitQuotas()
 	}
 	p.free, p.total = e.Free, e.Total
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -18,9 +18,18 @@
 // The part that depends on peers is smoothed: a burst of a second is no reason
 // to refuse work that may wait longer.
 func (c *Core) capacity() float64 {
-	return max(0, float64(c.fleet.total)+c.exchanged)
+	all := float64(c.fleet.total)
+	for _, p := range c.peers {
+		all += float64(p.total)
+	}
+	return max(float64(c.fleet.total)+c.exchanged, minPart*all/float64(len(c.peers)+1))
 }
 
+// minPart is the least part of its equal share of the data centre's slots that
+// an instance expects. Without it an instance that manages no target would
+// refuse everything, and so borrow nothing, once its peers were saturated.
+const minPart = 0.25
+
 // exchange returns the slots that this instance has, or can get, from its peers
 // less those that it lent.
 func (c *Core) exchange() int {
--- /dev/null
+++ b/experiment/goals_test.go
@@ -0,0 +1,91 @@
+package experiment_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/dispatch"
+	"hawthornshore.example/experiment"
+)
+
+func TestExperiment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "experiment")
+}
+
+// The runs are in virtual time with a fixed seed, so the verdicts are the same
+// in every run of the tests.
+const (
+	goalSeed    = 1
+	goalWarmup  = 40 * time.Second
+	goalMeasure = 20 * time.Second
+)
+
+var _ = Describe("the goals of the design page", Ordered, func() {
+	var verdicts []experiment.Verdict
+
+	BeforeAll(func() {
+		suite := experiment.Suite{
+			Workloads: []experiment.Workload{experiment.Resin(), experiment.Lanyards()},
+			Scenarios: []string{experiment.Steady, experiment.FloodLeast, experiment.FloodUrgent, experiment.ThirdGone},
+			Policies:  []dispatch.Policy{dispatch.PolicyHawthorn},
+			Seed:      goalSeed, Warmup: goalWarmup, Measure: goalMeasure, Parallel: 4,
+		}
+		results, err := suite.Run()
+		Expect(err).NotTo(HaveOccurred())
+		verdicts = experiment.Judge(results)
+	})
+
+	DescribeTable("are reached", func(workload, goal string, count int) {
+		found := 0
+		for _, v := range verdicts {
+			if v.Workload == workload && strings.Contains(v.Goal, goal) {
+				found++
+				GinkgoWriter.Println(v)
+				Expect(v.Met).To(BeTrue(), "%s (seed %d)", v, goalSeed)
+			}
+		}
+		Expect(found).To(Equal(count), "the goal must be judged")
+	},
+		Entry("resin: median at steady load", "resin", "median response", 1),
+		Entry("resin: p99 at steady load", "resin", "p99 response", 1),
+		Entry("resin: wasted messages", "resin", "wasted messages", 4),
+		Entry("resin: guarantees", "resin", "violations", 4),
+		Entry("resin: throughput that other classes keep in floods", "resin", "kept throughput", 4),
+		Entry("resin: p99 of other classes in floods", "resin", "p99 over no flood", 4),
+		Entry("resin: order of service with a third gone", "resin", "completed part", 2),
+		Entry("resin: refusals in time with a third gone", "resin", "refusal", 2),
+		Entry("lanyards: median at steady load", "lanyards", "median response", 1),
+		Entry("lanyards: p99 at steady load", "lanyards", "p99 response", 1),
+		Entry("lanyards: wasted messages", "lanyards", "wasted messages", 4),
+		Entry("lanyards: guarantees", "lanyards", "violations", 4),
+		Entry("lanyards: throughput that other classes keep in floods", "lanyards", "kept throughput", 4),
+		Entry("lanyards: p99 of other classes in floods", "lanyards", "p99 over no flood", 4),
+		Entry("lanyards: order of service with a third gone", "lanyards", "completed part", 2),
+		Entry("lanyards: refusals in time with a third gone", "lanyards", "refusal", 2),
+	)
+
+	It("gives the same result for the same seed", func() {
+		s, err := experiment.NewScenario(experiment.Disturbances, experiment.Resin(), dispatch.PolicyHawthorn, goalSeed, 10*time.Second, 10*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		first, second := experiment.Run(&s), experiment.Run(&s)
+		Expect(first.Messages).To(Equal(second.Messages))
+		Expect(first.All.Outcomes).To(Equal(second.All.Outcomes))
+		Expect(first.Violations).To(BeEmpty())
+		Expect(second.Violations).To(BeEmpty())
+	})
+
+	DescribeTable("all policies keep the guarantees under faults", func(policy dispatch.Policy) {
+		s, err := experiment.NewScenario(experiment.Disturbances, experiment.Lanyards(), policy, goalSeed, 10*time.Second, 20*time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(experiment.Run(&s).Violations).To(BeEmpty())
+	},
+		Entry("hawthorn", dispatch.PolicyHawthorn),
+		Entry("random", dispatch.PolicyRandom),
+		Entry("least loaded of two", dispatch.PolicyTwoChoices),
+	)
+})
