--- a/dispatch/allocate.go
+++ b/dispatch/allocate.go
@@ -23,32 +23,52 @@
 func (cl *class) hasWork() bool { return len(cl.active) > 0 || len(cl.asks) > 0 }
 
 // reserve returns the free slots that a class beyond its baseline must leave to
-// the baselines of the others. Only a class that floods leaves any: a reserve
-// against ordinary bursts would delay them while slots stay free.
+// the baselines of the others. Only a class that floods leaves all of them: a
+// full reserve against ordinary bursts would delay them while slots stay free.
 func (c *Core) reserve(beyond *class) int {
 	if !beyond.baseline.flooding {
-		return 0
+		return c.headroom(beyond)
 	}
 	reserved := 0
 	for _, cl := range c.ranked {
 		if cl != beyond {
-			reserved += max(0, cl.baseline.protected()-cl.usage)
+			reserved += cl.unused()
 		}
 	}
 	return reserved
 }
 
+// headroomPart bounds the slots that a class beyond its baseline leaves to higher
+// ranks, as a part of all.
+const headroomPart = 0.1
+
+// headroom returns the free slots that a class beyond its baseline leaves to the
+// unused baselines of higher ranks, so that their short tasks rarely wait.
+func (c *Core) headroom(beyond *class) int {
+	reserved := 0
+	for _, cl := range c.ranked {
+		if cl == beyond {
+			break
+		}
+		reserved += cl.unused()
+	}
+	return min(reserved, int(headroomPart*float64(c.fleet.total)))
+}
+
+// unused returns the protected slots that the class does not use.
+func (cl *class) unused() int { return max(0, cl.baseline.protected()-cl.usage) }
+
 // load is what the allocation assumes that a class asks for, in slots.
 type load func(cl *class) float64
 
 // presentLoad is what the class asks for now, or at least usually asks for:
 // waits last longer than the pauses between bursts.
 func presentLoad(cl *class) float64 {
-	return float64(max(cl.running+cl.queued(), cl.baseline.usual))
+	return max(float64(cl.running+cl.queued()), cl.baseline.usualRunning())
 }
 
 // usualLoad is what the class asks for on average.
-func usualLoad(cl *class) float64 { return float64(cl.baseline.usual) }
+func usualLoad(cl *class) float64 { return cl.baseline.usualRunning() }
 
 // entitlement returns the slots that the two passes give to a class out of
 // capacity when it demands the given number and the others their load. The
@@ -106,7 +126,7 @@
 		if cl == of {
 			break
 		}
-		sum += max(0, float64(cl.running+cl.queued()-cl.baseline.usual))
+		sum += max(0, float64(cl.running+cl.queued())-cl.baseline.usualRunning())
 	}
 	return sum
 }
