Connect the membership core to the server

Cause: liveness was the state of a link, so a silent peer stayed the manager of its targets until its link closed, and clocks were not compared. Ruled out: one goroutine for all cores (membership events of many peers would delay starts); the detector has its own loop and ring. Before: no indirect probes, no clock check.

--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
 
@@ -85,7 +84,7 @@
 	return server.Options{
 		Name:         daemon.Instance.Name,
 		DataCentre:   daemon.Instance.DataCentre,
-		Incarnation:  uuid.NewString(),
+		Incarnation:  uint64(time.Now().UnixMilli()),
 		HTTPListener: callers,
 		LinkListener: links,
 		Peers:        peers(daemon),
--- a/server/drain.go
+++ b/server/drain.go
@@ -5,13 +5,16 @@
 	"time"
 
 	"hawthornshore.example/dispatch"
+	"hawthornshore.example/membership"
 )
 
 // drain carries out a planned stop: the balancer is told first, then requests
 // in flight are finished.
 func (s *Server) drain() {
 	s.draining.Store(true)
+	s.places.setDraining(s.options.Name, true)
 	s.log.Info().Str("event", "drain_started").Send()
+	s.reviewTargets()
 	time.Sleep(s.options.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.DrainTimeout)
 	defer cancel()
@@ -29,5 +32,6 @@
 	if err := s.attempts.wait(ctx); err != nil {
 		s.log.Error().Str("event", "drain_timeout").Str("step", "finish attempts").Err(err).Send()
 	}
+	s.detector.notice(membership.Leave{})
 	s.log.Info().Str("event", "drain_finished").Send()
 }
--- /dev/null
+++ b/server/members.go
@@ -0,0 +1,119 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"hawthornshore.example/claims"
+	"hawthornshore.example/membership"
+	"hawthornshore.example/ring"
+	"hawthornshore.example/wire"
+)
+
+// memberRingSize is the number of events that may wait for the member loop. A
+// heartbeat that does not fit is followed by the next one.
+const memberRingSize = 4096
+
+// detector owns the membership core.
+type detector struct {
+	core *membership.Core
+	in   *ring.Ring[membership.Event]
+}
+
+func newDetector(options *Options) *detector {
+	return &detector{
+		core: membership.New(membership.Options{
+			Instance:    options.Name,
+			Incarnation: options.Incarnation,
+			Seed:        options.Incarnation,
+		}),
+		in: ring.New[membership.Event](memberRingSize),
+	}
+}
+
+// notice hands an event to the member loop.
+func (d *detector) notice(event membership.Event) {
+	_ = d.in.Push(event) // see memberRingSize
+}
+
+// memberLoop steps the membership core until ctx ends.
+func (s *Server) memberLoop(ctx context.Context) error {
+	d := s.detector
+	timer := time.NewTimer(membership.ProbeInterval)
+	defer timer.Stop()
+	var batch []membership.Event
+	for {
+		select {
+		case <-d.in.Ready():
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		batch = d.in.PopAll(batch[:0])
+		for _, event := range append(batch, membership.Tick{}) {
+			d.core.Step(time.Now(), event)
+		}
+		for _, effect := range d.core.Ready() {
+			s.memberEffect(effect)
+		}
+		if wake, ok := d.core.NextWake(); ok {
+			timer.Reset(max(time.Until(wake), 0))
+		}
+	}
+}
+
+// memberEffect carries out an effect of the membership core.
+func (s *Server) memberEffect(effect membership.Effect) {
+	switch e := effect.(type) {
+	case membership.Send:
+		s.sendMembership(&e)
+	case membership.MemberUp:
+		s.log.Info().Str("event", "member_up").Str("peer", e.Name).Send()
+		s.memberLive(e.Name, true)
+	case membership.MemberSuspected:
+		s.log.Info().Str("event", "member_suspected").Str("peer", e.Name).Send()
+	case membership.MemberDown:
+		s.log.Warn().Str("event", "member_down").Str("peer", e.Name).Bool("left", e.Left).Send()
+		s.memberLive(e.Name, false)
+	case membership.ClockChanged:
+		s.clockChanged(&e)
+	}
+}
+
+func (s *Server) sendMembership(e *membership.Send) {
+	data, err := json.Marshal(e.Message)
+	if err != nil {
+		s.log.Error().Str("event", "send_failed").Str("step", "encode membership").Str("peer", e.To).Err(err).Send()
+		return
+	}
+	s.send(e.To, &wire.Envelope{Body: &wire.Envelope_Membership{Membership: &wire.MembershipMessage{Data: data}}})
+}
+
+func (s *Server) handleMembership(peer string, message *wire.MembershipMessage) {
+	var decoded membership.Message
+	if err := json.Unmarshal(message.GetData(), &decoded); err != nil {
+		s.log.Error().Str("event", "membership_malformed").Str("peer", peer).Err(err).Send()
+		return
+	}
+	s.detector.notice(membership.MessageReceived{Message: decoded})
+}
+
+// memberLive records whether an instance may manage targets.
+func (s *Server) memberLive(instance string, live bool) {
+	if s.places.setLive(instance, live) {
+		s.reviewTargets()
+	}
+}
+
+// clockChanged stops the admission of jobs while the clock is off: job IDs
+// could not be compared with the recovery horizon.
+func (s *Server) clockChanged(e *membership.ClockChanged) {
+	event := s.log.Info()
+	if e.Skewed {
+		event = s.log.Error()
+	}
+	event.Str("event", "clock_skew").Bool("skewed", e.Skewed).Int64("offset_ms", e.Offset.Milliseconds()).Send()
+	s.clockOffset.Store(e.Offset.Milliseconds())
+	s.post(input{claims: claims.ClockChanged{Skewed: e.Skewed}})
+}
--- a/server/messages.go
+++ b/server/messages.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"hawthornshore.example/claims"
 	"hawthornshore.example/claims/lease"
 	"hawthornshore.example/dispatch"
+	"hawthornshore.example/membership"
 	"hawthornshore.example/structs"
 	"hawthornshore.example/wire"
 )
@@ -37,6 +39,8 @@
 			Peer: peer, TargetID: body.SlotReturn.GetTargetId(), Class: body.SlotReturn.GetClass(),
 			Failed: body.SlotReturn.GetFailed(), RunMS: body.SlotReturn.GetRunMs(),
 		}})
+	case *wire.Envelope_Membership:
+		s.handleMembership(peer, body.Membership)
 	case *wire.Envelope_Consensus:
 		s.control.HandleConsensus(peer, body.Consensus)
 	case *wire.Envelope_LeasePromise:
@@ -78,21 +82,23 @@
 // LinkUp records that a peer can be reached.
 func (s *Server) LinkUp(peer *wire.Hello) {
 	name := peer.GetInstance()
-	s.places.setLive(name, true)
+	incarnation, err := strconv.ParseUint(peer.GetIncarnation(), 10, 64)
+	if err != nil {
+		s.log.Error().Str("event", "hello_malformed").Str("peer", name).Err(err).Send()
+	}
+	s.detector.notice(membership.PeerFound{Peer: name, Incarnation: incarnation})
 	if s.places.isNeighbour(name) && s.places.newIncarnation(name, peer.GetIncarnation()) {
 		s.post(input{claims: claims.PeerRestarted{Peer: name}})
 	}
 	s.log.Info().Str("event", "link_up").Str("peer", peer.GetInstance()).
 		Str("data_centre", peer.GetDataCentre()).Str("incarnation", peer.GetIncarnation()).Send()
-	s.reviewTargets()
 }
 
 // LinkDown records that a peer cannot be reached.
 func (s *Server) LinkDown(peer string, cause error) {
-	s.places.setLive(peer, false)
+	s.detector.notice(membership.LinkLost{Peer: peer})
 	s.log.Warn().Str("event", "link_down").Str("peer", peer).Str("step", "link").Err(cause).Send()
 	s.post(input{dispatch: dispatch.PeerLost{Peer: peer}})
-	s.reviewTargets()
 }
 
 // LinkRefused reports a connection that did not become a link.
@@ -125,7 +131,8 @@
 func (s *Server) handleHeartbeat(peer string, beat *wire.Heartbeat) {
 	s.control.HeardVersion(peer, beat.GetStateVersion())
 	s.places.heard(peer, beat)
-	if s.places.setLive(peer, !beat.GetDraining()) {
+	s.detector.notice(membership.HeartbeatReceived{Peer: peer, Clock: time.UnixMilli(beat.GetClockUnixMs())})
+	if s.places.setDraining(peer, beat.GetDraining()) {
 		s.reviewTargets()
 	}
 	if s.places.isNeighbour(peer) {
--- a/server/options.go
+++ b/server/options.go
@@ -22,7 +22,7 @@
 type Options struct {
 	Name         string
 	DataCentre   string
-	Incarnation  string // new at each start of the process
+	Incarnation  uint64 // higher at each start of the process, such as the start time in milliseconds
 	HTTPListener net.Listener
 	LinkListener net.Listener
 	Peers        []Peer
--- a/server/places.go
+++ b/server/places.go
@@ -20,6 +20,7 @@
 	members    map[string][]string // agreed, by data centre, sorted
 	home       map[string]string   // data centre of each instance
 	live       map[string]bool
+	draining   map[string]bool
 	// incarnations and beats are what the links told of each peer.
 	incarnations map[string]string
 	beats        map[string]beat
@@ -32,6 +33,7 @@
 		members:    make(map[string][]string),
 		home:       make(map[string]string),
 		live:       make(map[string]bool),
+		draining:   make(map[string]bool),
 
 		incarnations: make(map[string]string),
 		beats:        make(map[string]beat),
@@ -83,15 +85,19 @@
 	defer p.mu.RUnlock()
 	var live []string
 	for instance, centre := range p.home {
-		if centre == p.dataCentre && p.live[instance] {
+		if centre == p.dataCentre && p.live[instance] && !p.draining[instance] {
 			live = append(live, instance)
 		}
 	}
+	if len(live) == 0 {
+		// The last instance of a data centre finishes its jobs while it drains.
+		return p.self
+	}
 	return claims.Manager(live, targetID)
 }
 
-// setLive records whether an instance may manage targets, and reports whether
-// that has changed.
+// setLive records whether an instance is alive, and reports whether that has
+// changed.
 func (p *places) setLive(instance string, live bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,6 +106,16 @@
 	return changed
 }
 
+// setDraining records whether an instance is about to stop, and reports whether
+// that has changed.
+func (p *places) setDraining(instance string, draining bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := p.draining[instance] != draining
+	p.draining[instance] = draining
+	return changed
+}
+
 // newIncarnation records the process behind a link, and reports whether another
 // process of the instance was known before.
 func (p *places) newIncarnation(instance, incarnation string) bool {
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -25,16 +26,17 @@
 
 // Server is one entry instance.
 type Server struct {
-	options Options
-	log     zerolog.Logger
-	decider *decider
-	mesh    *wire.Mesh
-	targets *targetapi.Client
-	places  *places
-	waiters *waiters
-	metrics *metrics
-	control *control.Control
-	http    *http.Server
+	options  Options
+	log      zerolog.Logger
+	decider  *decider
+	mesh     *wire.Mesh
+	targets  *targetapi.Client
+	places   *places
+	waiters  *waiters
+	metrics  *metrics
+	control  *control.Control
+	detector *detector
+	http     *http.Server
 	// static says that there is no voter: members are fixed by the settings.
 	static bool
 
@@ -44,6 +46,7 @@
 	configVersion atomic.Uint64
 	lease         atomic.Pointer[lease.LeaseChanged]
 	ownership     atomic.Pointer[claims.Ownership]
+	clockOffset   atomic.Int64 // milliseconds ahead of the peers' median, when last reported
 	handedOver    chan claims.HandedOver
 	left          chan struct{} // closed when the voters have removed this instance
 	offer         atomic.Pointer[dispatch.Offer]
@@ -56,12 +59,13 @@
 // New returns a Server that starts work in Run.
 func New(options Options) *Server {
 	s := &Server{
-		options: options,
-		log:     options.Logger.With().Str("instance", options.Name).Logger(),
-		places:  newPlaces(options),
-		waiters: newWaiters(),
-		metrics: newMetrics(),
-		static:  len(options.voters()) == 0,
+		options:  options,
+		log:      options.Logger.With().Str("instance", options.Name).Logger(),
+		places:   newPlaces(options),
+		detector: newDetector(&options),
+		waiters:  newWaiters(),
+		metrics:  newMetrics(),
+		static:   len(options.voters()) == 0,
 
 		handedOver: make(chan claims.HandedOver, 1),
 		left:       make(chan struct{}),
@@ -123,7 +127,7 @@
 		Self: &wire.Hello{
 			Instance:    s.options.Name,
 			DataCentre:  s.options.DataCentre,
-			Incarnation: s.options.Incarnation,
+			Incarnation: strconv.FormatUint(s.options.Incarnation, 10),
 		},
 		Listener:  s.options.LinkListener,
 		Peers:     peers,
@@ -137,7 +141,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.log.Info().Str("event", "instance_started").
 		Str("data_centre", s.options.DataCentre).
-		Str("incarnation", s.options.Incarnation).
+		Uint64("incarnation", s.options.Incarnation).
 		Str("http", s.options.HTTPListener.Addr().String()).
 		Str("link", s.options.LinkListener.Addr().String()).Send()
 	defer s.stopAll()
@@ -149,6 +153,7 @@
 	}
 	group.Go(func() error { return s.control.Run(inner) })
 	group.Go(func() error { return s.decider.decisionLoop(inner) })
+	group.Go(func() error { return s.memberLoop(inner) })
 	group.Go(func() error { return s.mesh.Run(inner) })
 	group.Go(func() error { return s.serveHTTP() })
 	group.Go(func() error {
