Serve the operators' calls

Cause: hawthornctl had nothing to talk to. Ruled out: a separate listener for operators for now (the settings have none). Before: no operator endpoints.

--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -52,6 +52,12 @@
 	})
 }
 
+// Conflict describes the change that won against a refused one.
+func (c *Control) Conflict(answer *sysstate.Answer) *operatorapi.Conflict {
+	winner := answer.GetChange()
+	return &operatorapi.Conflict{Winner: revisionOf(winner), Changes: changesOf(winner)}
+}
+
 // propose brings a command to the leader, over another voter if need be.
 func (c *Control) propose(ctx context.Context, command *sysstate.Command) (*sysstate.Answer, error) {
 	data, err := sysstate.EncodeCommand(command)
--- a/server/http.go
+++ b/server/http.go
@@ -24,6 +24,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /metrics", s.metrics.serve)
+	s.operatorRoutes(mux)
 	return mux
 }
 
--- a/server/inflight.go
+++ b/server/inflight.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// open returns how many pieces of work are in progress.
+func (f *inflight) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.count
+}
+
 // wait returns once nothing is in progress or ctx has ended.
 func (f *inflight) wait(ctx context.Context) error {
 	f.mu.Lock()
--- a/server/places.go
+++ b/server/places.go
@@ -154,6 +154,13 @@
 	return b, ok
 }
 
+// isLive reports whether an instance is alive.
+func (p *places) isLive(instance string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.live[instance]
+}
+
 // isNeighbour reports whether an instance serves the own data centre.
 func (p *places) isNeighbour(instance string) bool {
 	p.mu.RLock()
--- a/server/server.go
+++ b/server/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,20 +41,22 @@
 	// static says that there is no voter: members are fixed by the settings.
 	static bool
 
-	started  time.Time
 	draining atomic.Bool
 	// configVersion is the version of the configuration in force here.
-	configVersion atomic.Uint64
-	lease         atomic.Pointer[lease.LeaseChanged]
-	ownership     atomic.Pointer[claims.Ownership]
-	clockOffset   atomic.Int64 // milliseconds ahead of the peers' median, when last reported
-	handedOver    chan claims.HandedOver
-	left          chan struct{} // closed when the voters have removed this instance
-	offer         atomic.Pointer[dispatch.Offer]
-	attempts      inflight // attempts being followed
-	requests      inflight // callers' requests in flight
-	attemptOf     context.Context
-	stopAll       context.CancelFunc
+	configVersion  atomic.Uint64
+	lease          atomic.Pointer[lease.LeaseChanged]
+	ownership      atomic.Pointer[claims.Ownership]
+	clockOffset    atomic.Int64 // milliseconds ahead of the peers' median, when last reported
+	handedOver     chan claims.HandedOver
+	started        time.Time
+	drainOnce      sync.Once
+	drainRequested chan struct{} // closed by an operator's request
+	left           chan struct{} // closed when the voters have removed this instance
+	offer          atomic.Pointer[dispatch.Offer]
+	attempts       inflight // attempts being followed
+	requests       inflight // callers' requests in flight
+	attemptOf      context.Context
+	stopAll        context.CancelFunc
 }
 
 // New returns a Server that starts work in Run.
@@ -69,6 +72,9 @@
 
 		handedOver: make(chan claims.HandedOver, 1),
 		left:       make(chan struct{}),
+
+		started:        time.Now(),
+		drainRequested: make(chan struct{}),
 	}
 	s.attemptOf, s.stopAll = context.WithCancel(context.Background())
 	s.targets = targetapi.NewClient(targetapi.Options{OnMismatch: s.reportMismatch})
@@ -160,6 +166,8 @@
 		select {
 		case <-ctx.Done():
 			s.drain()
+		case <-s.drainRequested:
+			s.drain()
 		case <-inner.Done():
 		}
 		stopInner()
