Write lists and booleans in log lines as text

Cause: the console writer hands raw JSON values over as bytes, and they were printed as lists of numbers (left="[102 97 108 115 101]"). Ruled out: a fault of the caller (the same event printed numbers correctly). Before: unreadable values.

--- a/server/leases.go
+++ b/server/leases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"hawthornshore.example/claims/lease"
@@ -54,7 +55,7 @@
 	s.places.agree(s.options.DataCentre, names)
 	s.metrics.epoch.Set(e.View.Epoch)
 	s.log.Info().Str("event", "members_agreed").Uint64("epoch", e.View.Epoch).
-		Strs("members", names).Str("left", e.View.Left).Send()
+		Str("members", strings.Join(names, ",")).Str("left", e.View.Left).Send()
 }
 
 func (s *Server) leaseChanged(e *lease.LeaseChanged) {
--- a/server/log.go
+++ b/server/log.go
@@ -18,20 +18,27 @@
 		FormatLevel:     func(value any) string { return fmt.Sprintf("level=%v", value) },
 		FormatMessage:   formatMessage,
 		FormatFieldName: func(name any) string { return fmt.Sprintf("%v=", name) },
-		FormatErrFieldValue: func(value any) string {
-			return quoteIfNeeded(fmt.Sprint(value))
-		},
-		FormatFieldValue: func(value any) string { return quoteIfNeeded(fmt.Sprint(value)) },
+		FormatErrFieldValue: formatValue,
+		FormatFieldValue:    formatValue,
 	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(writer).Level(level).With().Timestamp().Logger()
 }
 
+// formatValue writes one value. The writer hands lists and booleans over as raw
+// JSON.
+func formatValue(value any) string {
+	if raw, ok := value.([]byte); ok {
+		return quoteIfNeeded(string(raw))
+	}
+	return quoteIfNeeded(fmt.Sprint(value))
+}
+
 func formatMessage(value any) string {
 	if value == nil || value == "" {
 		return ""
 	}
-	return fmt.Sprintf("message=%s", quoteIfNeeded(fmt.Sprint(value)))
+	return "message=" + formatValue(value)
 }
 
 // quoteIfNeeded keeps a value with spaces or quotes readable as one value.
