--- a/consensus/core.go
+++ b/consensus/core.go
@@ -50,6 +50,7 @@
 	effects []Effect
 
 	snapshotAsked bool
+	unsnapped     int // bytes of entries applied since the newest snapshot
 	statusDirty   bool
 }
 
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -64,6 +64,29 @@
 	l.prevIndex, l.prevTerm = index, term
 }
 
+// trailing returns the index before the last entries up to index that are
+// within both limits.
+func (l *entryLog) trailing(index, maxEntries uint64, maxBytes int) uint64 {
+	before, size := index, 0
+	for before > l.prevIndex && index-before < maxEntries {
+		size += sizeOf(l.entries[before-l.firstIndex() : before-l.prevIndex])
+		if size > maxBytes {
+			break
+		}
+		before--
+	}
+	return before
+}
+
+// sizeOf returns the approximate encoded size of entries, in bytes.
+func sizeOf(entries []*Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += len(entry.Data) + entryOverhead
+	}
+	return size
+}
+
 // conflict returns the term at index and the first index in memory with that
 // term, or (0, lastIndex+1) when the log is shorter.
 func (l *entryLog) conflict(index uint64) (term, first uint64) {
--- a/consensus/node/options.go
+++ b/consensus/node/options.go
@@ -72,9 +72,9 @@
 	Leader      string // empty when unknown
 	Voters      []string
 	Learners    []string
-	Commit      uint64
-	Established bool // leader that has committed an entry of its own term
-	Member      bool // this instance is a voter or a learner
+	Commit      uint64 // index when the status last changed
+	Established bool   // leader that has committed an entry of its own term
+	Member      bool   // this instance is a voter or a learner
 }
 
 const idSeparator = "@"
--- a/consensus/options.go
+++ b/consensus/options.go
@@ -15,8 +15,14 @@
 	// SnapshotEntries is the number of applied entries after which the core
 	// asks for a snapshot.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of applied entries, in bytes, after which the
+	// core asks for a snapshot although there are fewer than SnapshotEntries.
+	// A configuration is proposed as a whole, so that a day's changes would
+	// not fit into the daemon's memory.
+	SnapshotBytes int
 	// TrailingEntries is how many entries before a snapshot stay in memory for
-	// followers that lag a little.
+	// followers that lag a little, as long as they take less than a quarter of
+	// SnapshotBytes.
 	TrailingEntries uint64
 	// MaxBatchBytes bounds the entries of one AppendRequest, in bytes. A
 	// larger single entry is sent alone.
@@ -35,6 +41,7 @@
 	setDefault(&o.ElectionTimeout, time.Second)
 	setDefault(&o.HeartbeatInterval, o.ElectionTimeout/5)
 	setDefault(&o.SnapshotEntries, 4096)
+	setDefault(&o.SnapshotBytes, 4<<20)
 	setDefault(&o.TrailingEntries, 256)
 	setDefault(&o.MaxBatchBytes, 256<<10)
 	setDefault(&o.MaxInFlight, 4096)
--- a/consensus/persist.go
+++ b/consensus/persist.go
@@ -175,14 +175,21 @@
 		c.applied, c.install = s.Index, nil
 	}
 	if c.install == nil && c.applied < durable {
-		c.emit(Apply{Entries: c.log.from(c.applied+1, durable, maxInt)})
+		entries := c.log.from(c.applied+1, durable, maxInt)
+		c.unsnapped += sizeOf(entries)
+		c.emit(Apply{Entries: entries})
 		c.applied = durable
 	}
+	c.askForSnapshot()
+}
+
+func (c *Core) askForSnapshot() {
 	base := uint64(0)
 	if c.snapshot != nil {
 		base = c.snapshot.Index
 	}
-	if !c.snapshotAsked && c.applied >= base+c.options.SnapshotEntries {
+	due := c.applied >= base+c.options.SnapshotEntries || c.unsnapped >= c.options.SnapshotBytes
+	if due && !c.snapshotAsked && c.install == nil {
 		c.snapshotAsked = true
 		c.emit(TakeSnapshot{})
 	}
@@ -200,10 +207,9 @@
 	}
 	c.snapshot = &Snapshot{Index: e.Index, Term: term, Members: proto.CloneOf(c.membersAt(e.Index)), Data: e.Data}
 	c.persist.snapshot = c.snapshot
+	c.unsnapped = 0
 	c.forgetMembersBefore(e.Index)
-	if e.Index > c.options.TrailingEntries {
-		c.log.forgetUpTo(e.Index - c.options.TrailingEntries)
-	}
+	c.log.forgetUpTo(c.log.trailing(e.Index, c.options.TrailingEntries, c.options.SnapshotBytes/4))
 }
 
 // snapshotRequested replaces the log by a snapshot of the leader.
@@ -227,7 +233,7 @@
 	}
 	c.snapshot = s
 	c.log = entryLog{prevIndex: s.Index, prevTerm: s.Term}
-	c.install = s
+	c.install, c.unsnapped = s, 0
 	c.commit = s.Index
 	c.memberLog = []placedMembers{{index: s.Index, members: s.Members}}
 	c.statusDirty = true
--- a/consensus/rules_test.go
+++ b/consensus/rules_test.go
@@ -201,6 +201,18 @@
 		Expect(granted(s.sent())).To(BeTrue())
 	})
 
+	It("asks for a snapshot when large entries pile up, and forgets them", func() {
+		s := newSingle(1, members([]string{"a"}, nil))
+		s.wait(3 * timeout)
+		for range 4 {
+			s.step(consensus.Propose{Data: make([]byte, 1<<20)})
+		}
+		Expect(s.effects).To(ContainElement(consensus.TakeSnapshot{}))
+		s.step(consensus.SnapshotTaken{Index: 6, Data: []byte("state")})
+		s.step(consensus.Propose{Data: make([]byte, 1<<20)})
+		Expect(s.effects).NotTo(ContainElement(consensus.TakeSnapshot{}))
+	})
+
 	It("keeps its term while it is isolated", func() {
 		s := newSingle(1, members(abc, nil))
 		for range 100 {
--- a/storage/save.go
+++ b/storage/save.go
@@ -117,6 +117,9 @@
 	if err != nil {
 		return err
 	}
+	if len(body) > maxRecordBytes {
+		return fmt.Errorf("record of %d bytes exceeds %d bytes", len(body), maxRecordBytes)
+	}
 	d.buffer = appendRecord(d.buffer, record{kind: kind, body: body})
 	return nil
 }
