Send an open-loop load over HTTP to running instances

Cause: the experiments judge the policy in virtual time only; the whole path of a job needs a load as well.

hawthorn-load http sends the jobs of a workload at their intended times to running entry instances, bounded in time and in jobs in flight, and measures response times from the intended send times.

Ruled out: closed-loop callers, because a stalled instance would then lower the offered load and hide its own stall.

Before: virtual time only.

--- a/apps/hawthorn-load/main.go
+++ b/apps/hawthorn-load/main.go
@@ -17,6 +17,7 @@
 
 type commandLine struct {
 	Demo       demoCommand       `cmd:"" help:"Submit jobs through running entry instances and check the answers against the targets' start records."`
+	HTTP       httpCommand       `cmd:"" name:"http" help:"Send an open-loop load over HTTP to running entry instances."`
 	Experiment experimentCommand `cmd:"" help:"Compare policies in virtual time."`
 }
 
--- /dev/null
+++ b/experiment/httpload_test.go
@@ -0,0 +1,77 @@
+package experiment_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/experiment"
+	"hawthornshore.example/structs"
+)
+
+var _ = Describe("load over HTTP", func() {
+	// answering starts a stand-in for an entry instance.
+	answering := func(answer func(n int64, job *structs.Job) structs.Answer) (address string, received *atomic.Int64) {
+		received = new(atomic.Int64)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer GinkgoRecover()
+			var job structs.Job
+			Expect(json.NewDecoder(r.Body).Decode(&job)).To(Succeed())
+			Expect(r.URL.Path).To(Equal("/v1/jobs"))
+			Expect(job.DataCentre).To(Equal("dc1"))
+			Expect(job.Tasks[0].Payload).NotTo(BeEmpty())
+			a := answer(received.Add(1), &job)
+			Expect(json.NewEncoder(w).Encode(a)).To(Succeed())
+		}))
+		DeferCleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://"), received
+	}
+	options := func(address string) *experiment.LoadOptions {
+		return &experiment.LoadOptions{
+			Workload: experiment.Lanyards(), DataCentre: "dc1", Entries: []string{address},
+			Load: 0.8, Duration: 300 * time.Millisecond, Seed: 1, MaxInFlight: 1000,
+		}
+	}
+
+	It("counts every answer once and answers to other jobs apart", func() {
+		address, received := answering(func(n int64, job *structs.Job) structs.Answer {
+			if n%5 == 0 {
+				return structs.Answer{JobID: structs.NewJobID(), Outcome: structs.OutcomeComplete}
+			}
+			return structs.Answer{JobID: job.ID, Outcome: structs.OutcomeComplete}
+		})
+		result, err := experiment.GenerateLoad(context.Background(), options(address))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received.Load()).To(BeNumerically(">", 10))
+		Expect(result.WrongID).To(Equal(int(received.Load() / 5)))
+		Expect(result.All.Sent + result.WrongID).To(Equal(int(received.Load())))
+		Expect(result.Errors).To(BeZero())
+	})
+
+	It("does not send beyond the bound of jobs in flight, and says so", func() {
+		release := make(chan struct{})
+		address, received := answering(func(_ int64, job *structs.Job) structs.Answer {
+			<-release
+			return structs.Answer{JobID: job.ID, Outcome: structs.OutcomeComplete}
+		})
+		o := options(address)
+		o.MaxInFlight = 3
+		time.AfterFunc(2*o.Duration, func() { close(release) })
+		result, err := experiment.GenerateLoad(context.Background(), o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received.Load()).To(Equal(int64(3)))
+		Expect(result.NotSent).To(BeNumerically(">", 0))
+	})
+
+	It("rejects options that would send nothing", func() {
+		_, err := experiment.GenerateLoad(context.Background(), &experiment.LoadOptions{})
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
+
 	"hawthornshore.example/structs"
 )
 
@@ -118,6 +120,27 @@
 	return config
 }
 
+// Rename gives the classes, by rank, and the tenants other names. Empty lists
+// keep the workload's; there may be fewer tenants than the workload has.
+func (w *Workload) Rename(classes, tenants []string) error {
+	if len(classes) > 0 && len(classes) != len(w.Classes) {
+		return errors.NotValidf("%d class names for %d classes", len(classes), len(w.Classes))
+	}
+	for i, name := range classes {
+		w.Classes[i].Class.Name = name
+	}
+	if len(tenants) > len(w.Tenants) {
+		return errors.NotValidf("%d tenant names for %d tenants", len(tenants), len(w.Tenants))
+	}
+	if len(tenants) > 0 {
+		w.Tenants = w.Tenants[:len(tenants)]
+	}
+	for i, name := range tenants {
+		w.Tenants[i].Name = name
+	}
+	return nil
+}
+
 // slots returns the slots of the whole fleet.
 func (w *Workload) slots() int { return w.Targets * w.Slots }
 
