--- a/apps/hawthorn-load/main.go
+++ b/apps/hawthorn-load/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 	"runtime"
 	"time"
@@ -26,6 +25,7 @@
 	Scenario []string      `default:"${scenarios}" help:"Scenarios: ${scenarios}."`
 	Policy   []string      `default:"hawthorn,random,least-loaded-of-two" help:"Policies to compare."`
 	Seed     uint64        `default:"1" help:"Seed of the arrivals and of all random choices."`
+	Seeds    uint64        `default:"1" help:"Number of seeds to run, counted up from the seed; the goals are given as mean and worst."`
 	Warmup   time.Duration `default:"60s" help:"Virtual time before the measured window."`
 	Measure  time.Duration `default:"60s" help:"Length of the measured window."`
 	Parallel int           `default:"4" help:"Runs at once."`
@@ -47,18 +47,29 @@
 	for _, name := range c.Policy {
 		suite.Policies = append(suite.Policies, dispatch.Policy(name))
 	}
-	results, err := suite.Run()
-	if err != nil {
-		return errors.Trace(err)
+	var verdicts [][]experiment.Verdict
+	for i := range c.Seeds {
+		suite.Seed = c.Seed + i
+		results, err := suite.Run()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		verdicts = append(verdicts, experiment.Judge(results))
+		if i > 0 {
+			continue // the table and the report are those of the first seed
+		}
+		if err := c.write(results); err != nil {
+			return errors.Trace(err)
+		}
 	}
+	return errors.Trace(experiment.WriteSummary(os.Stdout, experiment.Summarize(verdicts)))
+}
+
+// write writes the table and, if asked for, the report of one seed.
+func (c *experimentCommand) write(results []*experiment.Result) error {
 	if err := experiment.WriteTable(os.Stdout, results); err != nil {
 		return errors.Trace(err)
 	}
-	for _, v := range experiment.Judge(results) {
-		if v.Policy == string(dispatch.PolicyHawthorn) {
-			fmt.Println(v)
-		}
-	}
 	if c.Report == "" {
 		return nil
 	}
