--- a/server/log.go
+++ b/server/log.go
@@ -12,12 +12,12 @@
 // NewLogger returns a logger that writes one line of key=value pairs per event.
 func NewLogger(out io.Writer, level zerolog.Level) zerolog.Logger {
 	writer := zerolog.ConsoleWriter{
-		Out:             out,
-		NoColor:         true,
-		FormatTimestamp: func(value any) string { return fmt.Sprintf("time=%v", value) },
-		FormatLevel:     func(value any) string { return fmt.Sprintf("level=%v", value) },
-		FormatMessage:   formatMessage,
-		FormatFieldName: func(name any) string { return fmt.Sprintf("%v=", name) },
+		Out:                 out,
+		NoColor:             true,
+		FormatTimestamp:     func(value any) string { return fmt.Sprintf("time=%v", value) },
+		FormatLevel:         func(value any) string { return fmt.Sprintf("level=%v", value) },
+		FormatMessage:       formatMessage,
+		FormatFieldName:     func(name any) string { return fmt.Sprintf("%v=", name) },
 		FormatErrFieldValue: formatValue,
 		FormatFieldValue:    formatValue,
 	}
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -9,6 +9,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"hawthornshore.example/structs"
+	"hawthornshore.example/wire"
 )
 
 // maxSeries bounds the label combinations of one metric, so that callers who
@@ -53,9 +54,16 @@
 	}
 }
 
+// watchTraffic reports the bytes of the links to other instances.
+func (m *metrics) watchTraffic(traffic *wire.Traffic) {
+	m.set.NewGauge("hawthorn_link_sent_bytes_total", func() float64 { return float64(traffic.Sent()) })
+	m.set.NewGauge("hawthorn_link_received_bytes_total", func() float64 { return float64(traffic.Received()) })
+}
+
 // serve writes the metrics in the text exposition format.
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
+	vm.WriteProcessMetrics(w)
 }
 
 // bounded returns the label value, or "other" once there are too many.
--- a/server/server.go
+++ b/server/server.go
@@ -80,6 +80,7 @@
 	s.targets = targetapi.NewClient(targetapi.Options{OnMismatch: s.reportMismatch})
 	s.decider = s.newDecider()
 	s.mesh = s.newMesh()
+	s.metrics.watchTraffic(s.mesh.Traffic())
 	s.control = control.New(control.Options{
 		Name:          options.Name,
 		DataFolder:    options.DataFolder,
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -40,6 +40,7 @@
 	options MeshOptions
 	mu      sync.RWMutex
 	links   map[string]*link
+	traffic Traffic
 }
 
 // NewMesh returns a Mesh that starts work in Run.
@@ -47,6 +48,9 @@
 	return &Mesh{options: options, links: make(map[string]*link)}
 }
 
+// Traffic returns the byte counters of the links.
+func (m *Mesh) Traffic() *Traffic { return &m.traffic }
+
 // Run dials and accepts links until ctx ends.
 func (m *Mesh) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -94,7 +98,7 @@
 			return fmt.Errorf("authenticate: %w", err)
 		}
 	}
-	session, err := yamux.Server(conn, yamuxConfig())
+	session, err := yamux.Server(&countingConn{conn, &m.traffic}, yamuxConfig())
 	if err != nil {
 		return err
 	}
@@ -131,7 +135,7 @@
 		return err
 	}
 	defer conn.Close()
-	session, err := yamux.Client(conn, yamuxConfig())
+	session, err := yamux.Client(&countingConn{conn, &m.traffic}, yamuxConfig())
 	if err != nil {
 		return err
 	}
