Stop the member loop from spinning after an answered probe

Cause: membership.Core.NextWake returned the acknowledgement time of a probe that was already answered, a time in the past, so the member loop woke at once again; an idle daemon used half a core (profile: 96% in memberLoop). Ruled out: the decision loop (absent from the profile) and link heartbeats.

--- a/membership/core.go
+++ b/membership/core.go
@@ -103,7 +103,7 @@
 	if c.self.Status != Alive {
 		return time.Time{}, false
 	}
-	if c.probe != nil && !c.probe.indirect {
+	if c.probe != nil && !c.probe.answered && !c.probe.indirect {
 		return c.probe.sent.Add(ackTimeout), true
 	}
 	return c.probeAt, true
