Compare clocks by timed answers only, and read the leader's time after the state

Cause: after a pause of the process, heartbeats that waited in the socket show clocks that are behind; the report of a wrong clock would stop admission, and its end would raise every recovery horizon by 2 s. The first answer after a start alone decided as well: with one wrong peer of two, the right one reported (seen in the new spec). Found while reading server/control/voter.go: the time for lease.Watch was taken before the state, so that a leader paused between the two counts a renewal as older than it is and may expire a lease that is held.

Ruled out: keeping heartbeat clocks for small groups; a delay cannot be told from a difference.

Before: HeartbeatReceived.Clock was sampled. The server builds; its tests were not run here. Conclusion: specs for the pause and the start.

--- a/claims/lease/watch.go
+++ b/claims/lease/watch.go
@@ -45,7 +45,9 @@
 const recentRenewal = 3 * structs.OwnerRenewInterval / 2
 
 // Due returns the commands to propose now. The leader calls it at least once
-// per structs.OwnerRenewInterval with the state it has applied.
+// per structs.OwnerRenewInterval with the state it has applied. The time must be
+// read after that state: with an older time, a process that was paused between
+// the two would count a lease from before its renewal.
 func (w *Watch) Due(now time.Time, a *Agreement) []Command {
 	maps.DeleteFunc(w.seen, func(name string, _ observation) bool { return a.Members[name] == nil })
 	var out []Command
--- a/membership/clock.go
+++ b/membership/clock.go
@@ -27,6 +27,9 @@
 // compareClocks reports when this clock leaves or returns to the accepted
 // distance from the median.
 func (c *Core) compareClocks() {
+	if len(c.clocks) < min(minClockSamples, len(c.order)) {
+		return
+	}
 	offset := -c.medianOffset()
 	distance := offset.Abs()
 	switch {
--- a/membership/core.go
+++ b/membership/core.go
@@ -79,7 +79,6 @@
 		c.learn(Update{Name: e.Peer, Incarnation: e.Incarnation, Status: Alive})
 	case HeartbeatReceived:
 		c.heard(e.Peer)
-		c.sampleClock(e.Peer, e.Clock.Sub(now))
 	case LinkLost:
 		c.probeSoon(e.Peer)
 	case MessageReceived:
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -107,7 +107,7 @@
 		now = now.Add(membership.ProbeInterval / 2)
 		step(membership.Tick{})
 		now = now.Add(time.Millisecond)
-		step(membership.HeartbeatReceived{Peer: "b", Clock: now})
+		step(membership.HeartbeatReceived{Peer: "b"})
 		now = now.Add(membership.ProbeInterval / 2)
 		Expect(step(membership.Tick{})).NotTo(ContainElement(membership.MemberSuspected{Name: "b"}))
 	})
@@ -119,12 +119,42 @@
 			membership.Update{Name: "c", Incarnation: 7, Status: membership.Alive}))
 	})
 
+	// probed answers the probe of the next interval, with the clocks of the peers
+	// ahead of this one, and returns the effects of the answer.
+	probed := func(ahead map[string]time.Duration, roundTrip time.Duration) []membership.Effect {
+		now = now.Add(membership.ProbeInterval)
+		for _, e := range step(membership.Tick{}) {
+			s, ok := e.(membership.Send)
+			if !ok || s.Message.Kind != membership.Ping {
+				continue
+			}
+			clock := now.Add(roundTrip/2 + ahead[s.To]).UnixMilli()
+			now = now.Add(roundTrip)
+			return step(membership.MessageReceived{Message: membership.Message{
+				Kind: membership.Ack, From: s.To, Incarnation: 5, Sequence: s.Message.Sequence, ClockUnixMS: clock,
+			}})
+		}
+		return nil
+	}
+
 	It("does not blame its clock if one of two peers agrees with it", func() {
 		received("c")
-		Expect(step(membership.HeartbeatReceived{Peer: "b", Clock: now})).To(BeEmpty())
-		Expect(step(membership.HeartbeatReceived{Peer: "c", Clock: now.Add(time.Second)})).To(BeEmpty())
-		Expect(step(membership.HeartbeatReceived{Peer: "b", Clock: now.Add(time.Second)})).To(ContainElement(
-			membership.ClockChanged{Skewed: true, Offset: -time.Second}))
+		for range 10 {
+			Expect(probed(map[string]time.Duration{"c": time.Second}, 0)).To(BeEmpty())
+		}
+		var effects []membership.Effect
+		for range 10 {
+			effects = append(effects, probed(map[string]time.Duration{"b": time.Second, "c": time.Second}, 0)...)
+		}
+		Expect(effects).To(Equal([]membership.Effect{membership.ClockChanged{Skewed: true, Offset: -time.Second}}))
+	})
+
+	It("does not blame its clock for answers that waited during a pause", func() {
+		for range 5 {
+			Expect(probed(nil, 10*time.Millisecond)).To(BeEmpty())
+		}
+		Expect(probed(map[string]time.Duration{"b": -4 * time.Second}, 450*time.Millisecond)).NotTo(
+			ContainElement(BeAssignableToTypeOf(membership.ClockChanged{})))
 	})
 
 	It("refutes a suspicion of itself with a higher incarnation", func() {
--- a/membership/events.go
+++ b/membership/events.go
@@ -1,7 +1,5 @@
 package membership
 
-import "time"
-
 // Event is an input of the core.
 type Event interface{ isEvent() }
 
@@ -12,11 +10,10 @@
 	Incarnation uint64
 }
 
-// HeartbeatReceived says that a link delivered a heartbeat.
-type HeartbeatReceived struct {
-	Peer  string
-	Clock time.Time // the peer's clock when it sent the heartbeat
-}
+// HeartbeatReceived says that a link delivered a heartbeat. Its clock is not
+// used: how long it was on its way is not known, and after a pause of this process
+// all heartbeats that waited would show a wrong difference.
+type HeartbeatReceived struct{ Peer string }
 
 // LinkLost says that a link was closed because it was silent or broken.
 type LinkLost struct{ Peer string }
--- a/membership/options.go
+++ b/membership/options.go
@@ -55,6 +55,9 @@
 	clockOffsetCleared = 400 * time.Millisecond
 	// clockSamples is how many peers' latest clock readings are compared.
 	clockSamples = 15
+	// minClockSamples is how many peers are compared at least, if there are as
+	// many, so that the first answer after a start does not decide.
+	minClockSamples = 3
 	// clockSampleAge is how long a reading counts.
 	clockSampleAge = 30 * time.Second
 )
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -78,14 +78,19 @@
 	}
 	if m.From == p.target {
 		p.answered = true
-		c.sampleClock(m.From, c.clockOffset(p, m))
+		c.readClock(p, m)
 	}
 }
 
-// clockOffset compares the peer's clock with the middle of the round trip.
-func (c *Core) clockOffset(p *probe, m *Message) time.Duration {
-	middle := p.sent.Add(c.now.Sub(p.sent) / 2)
-	return time.UnixMilli(m.ClockUnixMS).Sub(middle)
+// readClock compares the peer's clock with the middle of the round trip. A long
+// round trip, as after a pause of either process, says too little.
+func (c *Core) readClock(p *probe, m *Message) {
+	roundTrip := c.now.Sub(p.sent)
+	if roundTrip > ackTimeout {
+		return
+	}
+	middle := p.sent.Add(roundTrip / 2)
+	c.sampleClock(m.From, time.UnixMilli(m.ClockUnixMS).Sub(middle))
 }
 
 func (c *Core) heard(peer string) {
--- a/server/control/voter.go
+++ b/server/control/voter.go
@@ -175,8 +175,9 @@
 }
 
 func (v *voter) expireLeases(ctx context.Context, watches map[string]*lease.Watch) {
-	now := time.Now()
-	for centre, agreement := range v.store.Agreements() {
+	agreements := v.store.Agreements()
+	now := time.Now() // after the state, see lease.Watch.Due
+	for centre, agreement := range agreements {
 		watch := watches[centre]
 		if watch == nil {
 			watch = lease.NewWatch()
--- a/server/messages.go
+++ b/server/messages.go
@@ -131,7 +131,7 @@
 func (s *Server) handleHeartbeat(peer string, beat *wire.Heartbeat) {
 	s.control.HeardVersion(peer, beat.GetStateVersion())
 	s.places.heard(peer, beat)
-	s.detector.notice(membership.HeartbeatReceived{Peer: peer, Clock: time.UnixMilli(beat.GetClockUnixMs())})
+	s.detector.notice(membership.HeartbeatReceived{Peer: peer})
 	if s.places.setDraining(peer, beat.GetDraining()) {
 		s.reviewTargets()
 	}
