Ask for no tick that has come already, and summarize a hand-over in one pass

Cause: NextWake returned a time in the past: membership from the answer to a probe until the end of its interval, claims after a lease ended in the middle of a hand-over and after records that arrived past their deadline. A server that waits until NextWake would use a whole core meanwhile. Also: the summary of a hand-over went over the whole table once per partition, and a hand-over of more than 50,000 records was sent again before it was complete.

Ruled out: a lower bound on the wait in the server; it would hide such faults.

Conclusion: a core's timers may be waited for exactly.

--- a/claims/copies.go
+++ b/claims/copies.go
@@ -127,6 +127,7 @@
 		if len(t.ids) == 0 {
 			if t.seal != nil {
 				c.emit(SendHandOver{Peer: t.peer, HandOver: *t.seal})
+				c.leaving.resendAt = c.now + handOverResend
 			}
 			c.transfers = c.transfers[1:]
 			continue
--- a/claims/core.go
+++ b/claims/core.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// Step takes one event. Timers that are due at now fire before it.
+// Step takes one event. Timers that are due at now fire before it, and those that
+// it sets to now or earlier after it.
 func (c *Core) Step(now time.Time, ev Event) {
 	c.advance(now)
 	c.fireTimers()
@@ -116,6 +117,7 @@
 	case Tick:
 	}
 	c.handOver()
+	c.fireTimers()
 }
 
 // Ready returns the effects since the last call, in order.
@@ -134,7 +136,7 @@
 	if len(c.transfers) > 0 && (!ok || c.transferAt < at) {
 		at, ok = c.transferAt, true
 	}
-	if l := c.leaving; l != nil && len(l.waiting) > 0 && (!ok || l.resendAt < at) {
+	if l := c.leaving; l != nil && len(l.waiting) > 0 && len(c.transfers) == 0 && c.leaseHeld() && (!ok || l.resendAt < at) {
 		at, ok = l.resendAt, true
 	}
 	return c.opts.Start.Add(at), ok
--- a/claims/handover.go
+++ b/claims/handover.go
@@ -44,8 +44,8 @@
 }
 
 const (
-	// handOverResend is how long a peer may take to acknowledge a hand-over
-	// before everything is sent again. A transfer of 50,000 records takes as long.
+	// handOverResend is how long a peer may take to acknowledge a hand-over that
+	// was sent completely before everything is sent again.
 	handOverResend = 2 * time.Second
 	// sealedAge is how far a hand-over reaches back. Resubmissions of older IDs
 	// without a record are answered unknown by the new owner.
@@ -70,7 +70,7 @@
 		l.done = true
 		c.emit(HandedOver{Token: l.token, Epoch: c.epoch})
 	}
-	if len(l.waiting) > 0 && l.resendAt <= c.now {
+	if len(l.waiting) > 0 && len(c.transfers) == 0 && l.resendAt <= c.now {
 		c.sendHandOver()
 	}
 }
@@ -96,7 +96,6 @@
 // sendHandOver sends all records to the heirs that have not acknowledged. The
 // summaries follow with the last copies.
 func (c *Core) sendHandOver() {
-	c.leaving.resendAt = c.now + handOverResend
 	byHeir := make(map[string][]structs.JobID)
 	for _, id := range c.sortedIDs() {
 		if p := c.partitionOf(id); p.owner == c.opts.Instance {
@@ -114,11 +113,10 @@
 	h := HandOver{Token: c.leaving.token, Epoch: c.epoch}
 	for i := range c.partitions {
 		if p := &c.partitions[i]; c.mayAct(p) && p.backup == peer {
-			s := Seal{Partition: i, HorizonUnixMS: c.sealHorizon(p)}
-			s.Count, s.Digest = c.summarize(i, s.HorizonUnixMS)
-			h.Partitions = append(h.Partitions, s)
+			h.Partitions = append(h.Partitions, Seal{Partition: i, HorizonUnixMS: c.sealHorizon(p)})
 		}
 	}
+	c.summarize(h.Partitions)
 	if len(c.transfers) == 0 {
 		c.transferAt = c.now
 	}
@@ -129,15 +127,20 @@
 	return max(p.horizon, c.floor+1, c.wall-sealedAge.Milliseconds())
 }
 
-// summarize counts the records of a partition with IDs from the horizon on.
-func (c *Core) summarize(partition int, horizon int64) (count int, digest uint64) {
+// summarize counts the records that each seal covers, in one pass over the table.
+func (c *Core) summarize(seals []Seal) {
+	var byPartition [structs.Partitions]*Seal
+	for i := range seals {
+		seals[i].Count, seals[i].Digest = 0, 0
+		byPartition[seals[i].Partition] = &seals[i]
+	}
 	for id := range c.records {
-		if id.Time().UnixMilli() >= horizon && Partition(id) == partition {
-			count++
-			digest += xxhash.Sum64(id[:])
+		s := byPartition[Partition(id)]
+		if s != nil && id.Time().UnixMilli() >= s.HorizonUnixMS {
+			s.Count++
+			s.Digest += xxhash.Sum64(id[:])
 		}
 	}
-	return count, digest
 }
 
 // handOverReceived keeps the seals of a hand-over whose records have all
@@ -150,10 +153,11 @@
 		if s.Partition < 0 || s.Partition >= structs.Partitions {
 			return
 		}
-		count, digest := c.summarize(s.Partition, s.HorizonUnixMS)
-		if count != s.Count || digest != s.Digest {
-			return
-		}
+	}
+	mine := slices.Clone(e.HandOver.Partitions)
+	c.summarize(mine)
+	if !slices.Equal(mine, e.HandOver.Partitions) {
+		return
 	}
 	for _, s := range e.HandOver.Partitions {
 		c.seals[s.Partition] = seal{token: e.HandOver.Token, horizon: s.HorizonUnixMS}
--- a/claims/node_test.go
+++ b/claims/node_test.go
@@ -98,6 +98,8 @@
 		}
 		n.claims.Step(n.clock(), ev)
 		n.carryOut()
+		at, ok := n.claims.NextWake()
+		n.checkWake("claims", at, ok)
 	})
 }
 
@@ -105,6 +107,8 @@
 	n.do(func() {
 		n.lease.Step(n.clock(), ev)
 		n.carryOut()
+		at, ok := n.lease.NextWake()
+		n.checkWake("lease", at, ok)
 	})
 }
 
@@ -130,6 +134,14 @@
 	}
 }
 
+// checkWake fails if a core that was just stepped asks for a Tick that has come
+// already, which would keep its owner busy without an end.
+func (n *node) checkWake(core string, at time.Time, ok bool) {
+	if now := n.clock(); ok && !at.After(now) {
+		n.group.faultf("%s: %s wants a tick %v ago", n.process(), core, now.Sub(at))
+	}
+}
+
 func (n *node) wake(core string, at time.Time, tick func()) {
 	if queued, ok := n.wakes[core]; ok && !queued.After(at) {
 		return
--- a/membership/core.go
+++ b/membership/core.go
@@ -102,7 +102,7 @@
 	if c.self.Status != Alive {
 		return time.Time{}, false
 	}
-	if c.probe != nil && !c.probe.indirect {
+	if c.probe != nil && !c.probe.indirect && !c.probe.answered {
 		return c.probe.sent.Add(ackTimeout), true
 	}
 	return c.probeAt, true
--- a/membership/group_test.go
+++ b/membership/group_test.go
@@ -103,6 +103,9 @@
 		}
 	}
 	if at, ok := n.NextWake(); ok {
+		if !at.After(g.now.Add(n.offset)) {
+			g.faults = append(g.faults, name+": wants a tick that has just come")
+		}
 		g.wakeAt(name, at.Add(-n.offset))
 	}
 	if g.check && !n.consistent() {
