--- a/membership/core.go
+++ b/membership/core.go
@@ -79,7 +79,6 @@
 		c.learn(Update{Name: e.Peer, Incarnation: e.Incarnation, Status: Alive})
 	case HeartbeatReceived:
 		c.heard(e.Peer)
-		c.sampleClock(e.Peer, e.Clock.Sub(now))
 	case LinkLost:
 		c.probeSoon(e.Peer)
 	case MessageReceived:
@@ -103,7 +102,7 @@
 	if c.self.Status != Alive {
 		return time.Time{}, false
 	}
-	if c.probe != nil && !c.probe.answered && !c.probe.indirect {
+	if c.probe != nil && !c.probe.indirect && !c.probe.answered {
 		return c.probe.sent.Add(ackTimeout), true
 	}
 	return c.probeAt, true
