--- a/dispatch/heldloan.go
+++ b/dispatch/heldloan.go
@@ -5,7 +5,7 @@
 // loanHold is how long a loan that came too late is kept for the next task of
 // its class. Returning it at once would waste the request, the grant and the
 // return; with hundreds of starts per second it is mostly used within this time.
-const loanHold = 40 * time.Millisecond
+const loanHold = 80 * time.Millisecond
 
 // heldLoan is a loan that no task uses yet.
 type heldLoan struct {
