Make the core independent of map order

The loss of a peer and the division of quotas went through maps, and their order decided how targets and queues of equal rank were filed.

Change: both go in the order of names.

--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"hawthornshore.example/structs"
@@ -48,7 +49,9 @@
 // rounded up.
 func (c *Core) splitQuotas() {
 	instances := len(c.peers) + 1
-	for _, t := range c.tenants {
+	// In a fixed order, because it decides between queues of equal virtual time.
+	for _, name := range slices.Sorted(maps.Keys(c.tenants)) {
+		t := c.tenants[name]
 		t.quota = (t.spec.QuotaSlots + instances - 1) / instances
 		for _, q := range t.queues {
 			q.refresh()
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -81,8 +81,9 @@
 		cl.asks = slices.DeleteFunc(cl.asks, func(a *loanAsk) bool { return a.peer == name })
 	}
 	c.dropHeld(name)
-	for _, t := range c.fleet.targets {
-		c.endLoans(t, func(l *lentSlot) bool { return l.peer == name })
+	// In a fixed order, because it decides how the targets are filed.
+	for _, id := range c.ManagedTargets() {
+		c.endLoans(c.fleet.targets[id], func(l *lentSlot) bool { return l.peer == name })
 	}
 	c.splitQuotas()
 }
