Use the settings for drain delay, connection limits and operators' certificates

Cause: the settings had keys that the daemon did not read. Ruled out: a listener of its own for operators (callers and operators share the address in the settings); operators are told apart by their certificate. Before: the keys had no effect. After: limits apply; with operator_certificate the HTTP address serves TLS, and with operator_authority changes need a client certificate.

--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"hawthornshore.example/server"
 	"hawthornshore.example/settings"
@@ -21,10 +22,9 @@
 
 // arguments is the command line.
 type arguments struct {
-	Settings   string        `required:"" type:"existingdir" help:"Folder with the INI files of this instance's settings."`
-	Config     string        `required:"" type:"existingdir" help:"Folder with the INI files of the first system configuration."`
-	Check      bool          `help:"Check both folders, report every error and exit."`
-	DrainDelay time.Duration `default:"0s" help:"How long a stopping instance reports that it is not ready before it refuses connections."`
+	Settings string `required:"" type:"existingdir" help:"Folder with the INI files of this instance's settings."`
+	Config   string `required:"" type:"existingdir" help:"Folder with the INI files of the first system configuration."`
+	Check    bool   `help:"Check both folders, report every error and exit."`
 }
 
 func main() {
@@ -53,7 +53,7 @@
 		fmt.Println("settings and configuration are valid")
 		return nil
 	}
-	options, err := serverOptions(args, &daemon)
+	options, err := serverOptions(&daemon)
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 }
 
 // serverOptions opens the listeners and translates the settings.
-func serverOptions(args *arguments, daemon *settings.Daemon) (server.Options, error) {
+func serverOptions(daemon *settings.Daemon) (server.Options, error) {
 	level, err := zerolog.ParseLevel(daemon.Instance.LogLevel)
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "log level")
@@ -77,6 +77,11 @@
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "listen for instances")
 	}
+	callers = netutil.LimitListener(callers, daemon.Limits.MaxConnections)
+	callers, err = secureCallers(callers, &daemon.TLS.Operator)
+	if err != nil {
+		return server.Options{}, err
+	}
 	links, clientTLS, err := secureLinks(links, &daemon.TLS.Link)
 	if err != nil {
 		return server.Options{}, err
@@ -91,8 +96,13 @@
 		DataFolder:   daemon.Instance.DataFolder,
 		ClientTLS:    clientTLS,
 		Logger:       server.NewLogger(os.Stderr, level),
-		DrainDelay:   args.DrainDelay,
+		DrainDelay:   daemon.Limits.DrainDelay,
 		DrainTimeout: daemon.Limits.DrainTimeout,
+
+		HeaderTimeout:  daemon.Limits.HeaderTimeout,
+		MaxHeaderBytes: int(daemon.Limits.MaxHeaderBytes),
+
+		RequireOperatorCertificate: daemon.TLS.Operator.Authority != "",
 	}, nil
 }
 
@@ -108,6 +118,19 @@
 	return tls.NewListener(links, certificates.ServerTLS()), certificates.ClientTLS(), nil
 }
 
+// secureCallers adds TLS to the HTTP address if it is configured. Clients need
+// no certificate; the server asks operators for theirs.
+func secureCallers(callers net.Listener, files *settings.KeyPair) (net.Listener, error) {
+	if files.Certificate == "" {
+		return callers, nil
+	}
+	certificates, err := server.LoadCertificates(files.Certificate, files.Key, files.Authority)
+	if err != nil {
+		return nil, errors.Annotate(err, "HTTP address")
+	}
+	return tls.NewListener(callers, certificates.HTTPSConfig()), nil
+}
+
 func peers(daemon *settings.Daemon) []server.Peer {
 	var peers []server.Peer
 	for _, peer := range daemon.Others() {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -40,7 +40,7 @@
     if [ "$4" = true ]; then printf 'data_folder = %s/data-%s\n' "$run" "$1"; fi
     # All instances stop at once at the end, so the last voters cannot reach a
     # majority to leave; a short timeout keeps the stop short.
-    printf '[limits]\ndrain_timeout = 4s\n'
+    printf '[limits]\ndrain_timeout = 4s\ndrain_delay = 0s\n'
   } > "$dir/10-instance.ini"
   for other in "${instances[@]}"; do
     read -r name centre address voter <<< "$other"
--- a/server/certificates.go
+++ b/server/certificates.go
@@ -13,7 +13,7 @@
 // errNoAuthority means that an authority file holds no certificate.
 var errNoAuthority = errors.New("file holds no certificate")
 
-// Certificates are PEM files for TLS with certificates on both sides. Changed
+// Certificates are PEM files for TLS. Changed
 // files are read again at the next handshake, so that a renewal needs no
 // restart. A file that cannot be read then leaves the last good ones in use.
 type Certificates struct {
@@ -28,6 +28,7 @@
 }
 
 // LoadCertificates reads the files once, so that a mistake is reported at start.
+// The authority may be empty for HTTPSConfig.
 func LoadCertificates(certificate, key, authority string) (*Certificates, error) {
 	c := &Certificates{certificate: certificate, key: key, authority: authority}
 	changed, err := c.newest()
@@ -41,6 +42,9 @@
 func (c *Certificates) newest() (time.Time, error) {
 	var newest time.Time
 	for _, path := range []string{c.certificate, c.key, c.authority} {
+		if path == "" {
+			continue
+		}
 		info, err := os.Stat(path)
 		if err != nil {
 			return newest, fmt.Errorf("certificates: %w", err)
@@ -57,13 +61,15 @@
 	if err != nil {
 		return fmt.Errorf("certificate %s: %w", c.certificate, err)
 	}
-	pem, err := os.ReadFile(c.authority)
-	if err != nil {
-		return fmt.Errorf("authority: %w", err)
-	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return fmt.Errorf("authority %s: %w", c.authority, errNoAuthority)
+	if c.authority != "" {
+		pem, err := os.ReadFile(c.authority)
+		if err != nil {
+			return fmt.Errorf("authority: %w", err)
+		}
+		if !pool.AppendCertsFromPEM(pem) {
+			return fmt.Errorf("authority %s: %w", c.authority, errNoAuthority)
+		}
 	}
 	c.pair, c.pool, c.changed = &pair, pool, changed
 	return nil
@@ -82,6 +88,15 @@
 
 // ServerTLS accepts only peers with a certificate of the authority.
 func (c *Certificates) ServerTLS() *tls.Config {
+	return c.serverConfig(tls.RequireAndVerifyClientCert)
+}
+
+// HTTPSConfig accepts clients without a certificate, and verifies one if given.
+func (c *Certificates) HTTPSConfig() *tls.Config {
+	return c.serverConfig(tls.VerifyClientCertIfGiven, "http/1.1")
+}
+
+func (c *Certificates) serverConfig(auth tls.ClientAuthType, protocols ...string) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -90,7 +105,8 @@
 				MinVersion:   tls.VersionTLS13,
 				Certificates: []tls.Certificate{*pair},
 				ClientCAs:    pool,
-				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientAuth:   auth,
+				NextProtos:   protocols,
 			}, nil
 		},
 	}
--- a/server/certificates_test.go
+++ b/server/certificates_test.go
@@ -114,6 +114,20 @@
 		Expect(serverErr).To(HaveOccurred())
 	})
 
+	// Guards against an HTTP address that only clients with a certificate reach,
+	// and against a foreign certificate that passes for an operator's.
+	It("lets callers in without a certificate and refuses a foreign one", func() {
+		own, other := newAuthority().issue(GinkgoT().TempDir()), newAuthority().issue(GinkgoT().TempDir())
+		caller := &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13}
+		serverErr, clientErr := handshake(own.HTTPSConfig(), caller)
+		Expect(serverErr).NotTo(HaveOccurred())
+		Expect(clientErr).NotTo(HaveOccurred())
+		stranger := other.ClientTLS()
+		stranger.VerifyConnection = nil
+		serverErr, _ = handshake(own.HTTPSConfig(), stranger)
+		Expect(serverErr).To(HaveOccurred())
+	})
+
 	// Guards against an instance that trusts any server.
 	It("refuses a server of another authority", func() {
 		own, other := newAuthority().issue(GinkgoT().TempDir()), newAuthority().issue(GinkgoT().TempDir())
--- a/server/operators.go
+++ b/server/operators.go
@@ -32,8 +32,27 @@
 	mux.HandleFunc("GET "+operatorapi.PathClasses, s.showClasses)
 	mux.HandleFunc("GET "+operatorapi.PathConfig, s.showConfig)
 	mux.HandleFunc("GET "+operatorapi.PathHistory, s.showHistory)
-	mux.HandleFunc("PUT "+operatorapi.PathConfig, s.putConfig)
-	mux.HandleFunc("POST "+operatorapi.PathDrain, s.startDrain)
+	mux.HandleFunc("PUT "+operatorapi.PathConfig, s.authorized(s.putConfig))
+	mux.HandleFunc("POST "+operatorapi.PathDrain, s.authorized(s.startDrain))
+}
+
+// errUnauthorized turns away a client without an operator's certificate.
+var errUnauthorized = errors.New("the call needs a client certificate of the operators' authority")
+
+// authorized serves only clients with an operator's certificate, if the
+// settings ask for one.
+func (s *Server) authorized(next http.HandlerFunc) http.HandlerFunc {
+	if !s.options.RequireOperatorCertificate {
+		return next
+	}
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+			err := &structs.StepError{Step: "authorize", Peer: r.RemoteAddr, Err: errUnauthorized}
+			s.operatorError(w, http.StatusForbidden, "authorize", err)
+			return
+		}
+		next(w, r)
+	}
 }
 
 // operatorError answers a call that failed.
--- a/server/options.go
+++ b/server/options.go
@@ -39,6 +39,13 @@
 	DrainDelay time.Duration
 	// DrainTimeout bounds the wait for requests in flight at a planned stop.
 	DrainTimeout time.Duration
+	// HeaderTimeout bounds the time a client may take to send its headers.
+	HeaderTimeout time.Duration
+	// MaxHeaderBytes bounds the headers of a request; 0 is the default of net/http.
+	MaxHeaderBytes int
+	// RequireOperatorCertificate refuses operators' changes from clients without
+	// a certificate of the listener's authority.
+	RequireOperatorCertificate bool
 	// Policy selects the routing policy of the dispatch core; empty means the
 	// default.
 	Policy string
--- a/server/server.go
+++ b/server/server.go
@@ -22,9 +22,6 @@
 	"hawthornshore.example/wire"
 )
 
-// readHeaderTimeout bounds the time a caller may take to send its headers.
-const readHeaderTimeout = 5 * time.Second
-
 // Server is one entry instance.
 type Server struct {
 	options  Options
@@ -90,7 +87,11 @@
 		Logger:        s.log,
 		OnState:       s.stateChanged,
 	})
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: options.HeaderTimeout,
+		MaxHeaderBytes:    options.MaxHeaderBytes,
+	}
 	return s
 }
 
