--- a/storage/group_test.go
+++ b/storage/group_test.go
@@ -24,7 +24,9 @@
 	mu        sync.Mutex
 	root      string
 	core      consensus.Options
-	segment   int64 // bytes; 0 is the default
+	segment   int64  // bytes; 0 is the default
+	operation string // ID of the newest accepted change, and its base version
+	base      uint64
 	names     []string
 	instances map[string]*instance
 	cut       map[string]bool
@@ -178,18 +180,27 @@
 	return found, g.get(found)
 }
 
-// change applies a configuration change, at another leader when needed, and
-// returns its version.
+// change applies a configuration change and returns its version. As operators
+// do, it resends an unanswered command unchanged, at another leader when
+// needed, and makes a new one after a version conflict.
 func (g *group) change(id string) uint64 {
-	var version uint64
+	_, leader := g.leader()
+	base, attempt := leader.store.Version(), 0
+	operation := id
+	var answer *sysstate.Answer
 	Eventually(func(ok Gomega) {
 		_, leader := g.leader()
-		answer, err := applyConfig(leader, leader.store.Version(), id)
+		var err error
+		answer, err = applyConfig(leader, base, operation)
 		ok.Expect(err).NotTo(HaveOccurred())
+		if answer.Status == sysstate.Status_STATUS_VERSION_CONFLICT {
+			attempt++
+			base, operation = answer.Version, fmt.Sprintf("%s-%d", id, attempt)
+		}
 		ok.Expect(answer.Status).To(Equal(sysstate.Status_STATUS_OK), answer.Message)
-		version = answer.Version
 	}, time.Minute).Should(Succeed())
-	return version
+	g.operation, g.base = operation, base
+	return answer.Version
 }
 
 func applyConfig(i *instance, base uint64, id string) (*sysstate.Answer, error) {
@@ -240,6 +251,7 @@
 		for i := range 500 {
 			Expect(g.change(fmt.Sprintf("op-%d", i))).To(Equal(uint64(i + 1)))
 		}
+		operation, base := g.operation, g.base
 		for _, name := range g.names {
 			g.kill(name)
 		}
@@ -249,10 +261,10 @@
 		Expect(g.change("after")).To(Equal(uint64(501)))
 		g.expectVersion(501)
 		_, leader := g.leader()
-		answer, err := applyConfig(leader, 77, "op-499")
+		answer, err := applyConfig(leader, 77, operation)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Status).To(Equal(sysstate.Status_STATUS_REUSED_OPERATION_ID))
-		answer, err = applyConfig(leader, 499, "op-499")
+		answer, err = applyConfig(leader, base, operation)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Repeated).To(BeTrue(), "a resend must get the first answer")
 		Expect(answer.Version).To(Equal(uint64(500)))
