--- a/dispatch/policy_test.go
+++ b/dispatch/policy_test.go
@@ -269,6 +269,26 @@
 		Expect(pick[dispatch.ReturnSlot](borrower.after(100*time.Millisecond, dispatch.Tick{}))).To(HaveLen(1))
 	})
 
+	It("starts on the same targets in every run after the loss of a peer", func() {
+		run := func() []string {
+			b := newBench(dispatch.PolicyHawthorn)
+			for n := range 20 {
+				b.target(fmt.Sprint("w", n), 2)
+			}
+			b.step(dispatch.SlotsRequested{Peer: "borrower", Class: "urgent", Count: 20})
+			b.step(dispatch.PeerLost{Peer: "borrower"})
+			var ids []string
+			for _, s := range pick[dispatch.StartAttempt](b.submit(b.job("urgent", 10))) {
+				ids = append(ids, s.Target.TargetID)
+			}
+			return ids
+		}
+		first := run()
+		for range 5 {
+			Expect(run()).To(Equal(first), "the core must not depend on map order")
+		}
+	})
+
 	It("takes the loans of a lost peer back", func() {
 		borrow()
 		lender.step(dispatch.PeerLost{Peer: "borrower"})
