Use slow targets only for work that has waited

Change: a slow target gets a task only after the job has waited for the median run time of its class.

--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -81,8 +81,13 @@
 }
 
 // pick returns a target with a free slot for the task, or nil.
-func (f *fleet) pick(class string, task *structs.Task, rng *rand.Rand) *target {
-	for tier := range tierCount {
+// Slow targets are last, and only for work that has waited.
+func (f *fleet) pick(class string, task *structs.Task, waited bool, rng *rand.Rand) *target {
+	tiers := tierSlow
+	if waited {
+		tiers = tierCount
+	}
+	for tier := range tiers {
 		for _, p := range f.pools {
 			if !p.fits(class, task) {
 				continue
--- a/dispatch/lend.go
+++ b/dispatch/lend.go
@@ -56,7 +56,7 @@
 // lend gives the next free slot to a peer's request. It reports false if no
 // target has a slot for it.
 func (c *Core) lend(cl *class, a *loanAsk) bool {
-	t := c.fleet.pick(cl.spec.Name, &a.task, c.rng)
+	t := c.fleet.pick(cl.spec.Name, &a.task, c.hasWaited(cl, a.since), c.rng)
 	if t == nil {
 		return false
 	}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "container/heap"
+import (
+	"container/heap"
+	"time"
+)
 
 // enqueue makes the waiting tasks of a released job available for starts.
 func (c *Core) enqueue(j *job) {
@@ -122,7 +125,7 @@
 	if !c.mayStart(j, i) {
 		return true
 	}
-	tg := c.fleet.pick(j.class.spec.Name, &j.spec.Tasks[i], c.rng)
+	tg := c.fleet.pick(j.class.spec.Name, &j.spec.Tasks[i], c.hasWaited(j.class, j.enqueuedAt), c.rng)
 	if tg == nil {
 		return false
 	}
@@ -131,6 +134,12 @@
 	return true
 }
 
+// hasWaited reports whether work has waited for so long that a slow target
+// serves it sooner than further waiting.
+func (c *Core) hasWaited(cl *class, since time.Duration) bool {
+	return c.now-since >= time.Duration(cl.runtimes.medianMS()*float64(time.Millisecond))
+}
+
 // mayStart parks or ends a job whose next start is pointless or not allowed.
 func (c *Core) mayStart(j *job, i int) bool {
 	if j.tasks[i].number > 0 && !j.class.budget.allows(c.now) {
