Measure the cost of control and of starts on one machine

Cause: docs/CAPACITY.md needs slopes, and there was no way to measure a daemon's processor time, memory and link bytes against the number of instances, voters, targets, changes and starts.

Ruled out: measuring inside the daemon (the process metrics have the same 10 ms resolution as /proc, and a role cannot be told from one process), and one process per emulated target (200 targets would be 200 processes).

Before: no figures of whole daemons.

Tests of apps, experiment and emulator pass, but for "docs/observability.md lists exactly the log events and metrics of the code", which fails in the same way without this change.

--- a/apps/hawthorn-load/http.go
+++ b/apps/hawthorn-load/http.go
@@ -21,6 +21,8 @@
 	Classes     []string      `help:"Names for the workload's classes, by rank, if the configuration has others."`
 	Tenants     []string      `help:"Names of tenants, if the configuration has others."`
 	Targets     int           `help:"Targets that the rate is based on; 0 is the workload's number."`
+	Tasks       int           `help:"Tasks of every job; 0 draws them from the workload."`
+	TaskRun     time.Duration `name:"run" default:"50ms" help:"Run time of every task, with --tasks."`
 	Load        float64       `default:"0.8" help:"Offered slot time over all slots."`
 	Duration    time.Duration `default:"10s" help:"Time during which jobs are sent; at most 10m."`
 	Seed        uint64        `default:"1" help:"Seed of the arrivals and sizes."`
@@ -40,6 +42,11 @@
 	if err := w.Rename(c.Classes, c.Tenants); err != nil {
 		return errors.Trace(err)
 	}
+	if c.Tasks > 0 {
+		if err := w.Fix(c.Tasks, c.TaskRun); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	if c.Targets > 0 {
 		w.Targets = c.Targets
 	}
--- a/apps/hawthorn-target/main.go
+++ b/apps/hawthorn-target/main.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -22,6 +24,7 @@
 	Listen      string        `help:"Address to serve on." default:"127.0.0.1:0"`
 	Advertise   string        `help:"Address to announce, if it is not the one served on."`
 	ID          string        `help:"Target ID." required:""`
+	Count       int           `help:"Number of targets in this process. With more than one, each has a port of its own on the host of --listen, and its number is appended to its ID and its start record." default:"1"`
 	Worker      string        `help:"Worker the target runs on."`
 	Rack        string        `help:"Rack of the worker."`
 	DataCentre  string        `help:"Data centre of the worker."`
@@ -58,19 +61,49 @@
 	log.Info().Str("event", "target_stopped").Send()
 }
 
-// run serves the target until a signal or a fault ends it.
+// run serves the targets until a signal or a fault ends them.
 func run(args arguments, log zerolog.Logger) error {
-	options, err := args.options(log)
-	if err != nil {
-		return errors.Trace(err)
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	group, signals := errgroup.WithContext(signals)
+	for n := range max(args.Count, 1) {
+		options, err := args.options(log)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if args.Count > 1 {
+			if err := number(&options, n); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		target, err := emulator.New(options)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		group.Go(func() error { return serve(signals, target, args.LeaveWithin) })
 	}
-	target, err := emulator.New(options)
+	return errors.Trace(group.Wait())
+}
+
+// number tells one of several targets in a process from the others.
+func number(options *emulator.Options, n int) error {
+	host, _, err := net.SplitHostPort(options.Listen)
 	if err != nil {
-		return errors.Trace(err)
+		return errors.Annotate(err, "reading --listen")
 	}
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	served, serveEnded := context.WithCancel(signals)
+	suffix := "-" + strconv.Itoa(n)
+	options.Listen = net.JoinHostPort(host, "0")
+	options.ID += suffix
+	options.Seed += uint64(n)
+	if options.StartRecord != "" {
+		options.StartRecord += suffix
+	}
+	return nil
+}
+
+// serve serves one target until ctx ends, and lets it leave.
+func serve(ctx context.Context, target *emulator.Target, leaveWithin time.Duration) error {
+	served, serveEnded := context.WithCancel(ctx)
 	var group errgroup.Group
 	group.Go(func() error {
 		defer serveEnded()
@@ -78,12 +111,12 @@
 	})
 	group.Go(func() error {
 		<-served.Done()
-		if signals.Err() == nil {
+		if ctx.Err() == nil {
 			return nil // Serve ended by itself
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), args.LeaveWithin)
+		leaving, cancel := context.WithTimeout(context.Background(), leaveWithin)
 		defer cancel()
-		return target.Leave(ctx)
+		return target.Leave(leaving)
 	})
 	return errors.Trace(group.Wait())
 }
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -42,6 +42,8 @@
 	// WrongPart is the part of jobs whose declared run time is wrong by a
 	// factor of up to ten in either direction.
 	WrongPart float64
+	// FixedTasks is the number of tasks of every job; 0 draws it.
+	FixedTasks int
 }
 
 func tenants() []structs.Tenant {
@@ -141,6 +143,21 @@
 	return nil
 }
 
+// Fix gives every job the same number of tasks, which all run and declare the
+// same time.
+func (w *Workload) Fix(tasks int, run time.Duration) error {
+	if tasks < 1 || tasks > structs.MaxTasks || run < time.Millisecond {
+		return errors.NotValidf("%d tasks of %s", tasks, run)
+	}
+	w.FixedTasks = tasks
+	w.WrongPart = 0
+	for i := range w.Classes {
+		c := &w.Classes[i]
+		c.MinRun, c.MaxRun, c.LongPart = run, run, 0
+	}
+	return nil
+}
+
 // slots returns the slots of the whole fleet.
 func (w *Workload) slots() int { return w.Targets * w.Slots }
 
@@ -167,6 +184,9 @@
 	if rng.Float64() < c.ParallelPart {
 		n = min(maxParallel, 2+int(rng.ExpFloat64()*(c.MeanTasks-2)))
 	}
+	if w.FixedTasks > 0 {
+		n = w.FixedTasks
+	}
 	long := rng.Float64() < c.LongPart
 	wrong := 1.0
 	if rng.Float64() < w.WrongPart {
