Test configuration changes through failures with real processes

Cause: guarantee G8 was only tested on the cores and with one process per test. Ruled out: extending the package integration, whose fleet has fixed members, no voters and one data centre. Before: no test with voters as processes.

--- /dev/null
+++ b/integration/system/suite_test.go
@@ -0,0 +1,31 @@
+// Package system tests the system's own state (docs/design.md, sections 8.1 and
+// 11) with real processes: voters with data folders, several data centres,
+// membership, takeover and graceful stops.
+package system
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// programs is the folder of the built programs.
+var programs string
+
+func TestSystem(t *testing.T) {
+	programs = t.TempDir()
+	build := exec.Command("go", "build", "-o", programs+string(filepath.Separator),
+		"hawthornshore.example/apps/hawthornd",
+		"hawthornshore.example/apps/hawthornctl",
+		"hawthornshore.example/apps/hawthorn-target")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("building the programs: %s\n%s", err, output)
+	}
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyPollingInterval(20 * time.Millisecond)
+	RunSpecs(t, "system")
+}
