--- a/structs/errors.go
+++ b/structs/errors.go
@@ -78,7 +78,7 @@
 	case OutcomeComplete, OutcomeFailed:
 		return http.StatusOK
 	case OutcomeUnknown:
-		return http.StatusGatewayTimeout
+		return a.unknownStatus()
 	}
 	switch a.Reason {
 	case ReasonMalformed, ReasonBadJobID, ReasonBadTaskCount, ReasonBadField, ReasonUnknownHome,
@@ -86,10 +86,20 @@
 		return http.StatusBadRequest
 	case ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case ReasonBodyMismatch:
-		return http.StatusConflict
 	case ReasonQuota, ReasonQueueFull:
 		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
 }
+
+// unknownStatus tells requests that the caller has to change from those whose
+// outcome was lost.
+func (a *Answer) unknownStatus() int {
+	switch a.Reason {
+	case ReasonBodyMismatch:
+		return http.StatusConflict
+	case ReasonExpiredJobID:
+		return http.StatusGone
+	}
+	return http.StatusGatewayTimeout
+}
--- a/structs/job.go
+++ b/structs/job.go
@@ -46,7 +46,7 @@
 
 // Answer is what a caller gets for a job.
 type Answer struct {
-	JobID   JobID        `json:"job_id"`
+	JobID   JobID        `json:"job_id,omitzero"` // zero if the request named no valid ID
 	Outcome Outcome      `json:"outcome"`
 	Reason  Reason       `json:"reason,omitempty"`
 	Message string       `json:"message,omitempty"`
