Tell refusals of config apply from conflicts and from lost answers

A refused operation ID was reported as "may or may not be in force". Ruled out: another status in the server (an empty answer must not pass for success in any case); keeping a flag that no server reads.

--- a/apps/hawthornctl/internal/api/call.go
+++ b/apps/hawthornctl/internal/api/call.go
@@ -40,6 +40,7 @@
 		if err := json.Unmarshal(body, &failure); err != nil || failure.Message == "" {
 			return unexplained(status)
 		}
+		failure.Status = status
 		return &failure
 	}
 }
--- a/apps/hawthornctl/internal/api/operator.go
+++ b/apps/hawthornctl/internal/api/operator.go
@@ -62,11 +62,29 @@
 		method: http.MethodPut,
 		path:   operatorapi.PathConfig,
 		body:   body,
-		decode: decodeInto(&reply, http.StatusOK, http.StatusConflict),
+		decode: decodeApply(&reply),
 	}, c.timeout)
 	return reply, err
 }
 
+// decodeApply reads the answer to an ApplyRequest. A conflict has the same status
+// as some refusals; only the body tells them apart.
+func decodeApply(reply *operatorapi.ApplyReply) func(int, []byte) error {
+	decodeReply := decodeInto(reply, http.StatusOK, http.StatusConflict)
+	decodeFailure := decodeInto(&operatorapi.ApplyReply{})
+	return func(status int, body []byte) error {
+		if err := decodeReply(status, body); err != nil {
+			return err
+		}
+		applied := status == http.StatusOK && reply.Result == operatorapi.ApplyApplied
+		conflict := status == http.StatusConflict && reply.Result == operatorapi.ApplyConflict
+		if applied || conflict {
+			return nil
+		}
+		return decodeFailure(status, body)
+	}
+}
+
 // Drain asks the instance at the first address to stop. It is sent once: the
 // next address would be another instance.
 func (c *Client) Drain(ctx context.Context, request operatorapi.DrainRequest) (operatorapi.DrainReply, error) {
--- a/apps/hawthornctl/internal/cli/config_apply.go
+++ b/apps/hawthornctl/internal/cli/config_apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -52,7 +53,7 @@
 	}
 	reply, err := e.client.Apply(e.ctx, request)
 	if err != nil {
-		return errors.Annotatef(err, "the change may or may not be in force; to find out, add --operation-id %s and run the command again", request.OperationID)
+		return explainApply(err, request.OperationID)
 	}
 	if err := c.print(e, request.OperationID, reply); err != nil {
 		return err
@@ -66,6 +67,15 @@
 	return nil
 }
 
+// explainApply says whether a failed apply can have changed anything.
+func explainApply(err error, operationID string) error {
+	var refused *operatorapi.ErrorReply
+	if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError {
+		return errors.Annotate(err, "nothing was changed")
+	}
+	return errors.Annotatef(err, "the change may or may not be in force; to find out, add --operation-id %s and run the command again", operationID)
+}
+
 func (c *configApplyCommand) print(e *environment, operationID string, reply operatorapi.ApplyReply) error {
 	if e.print.json {
 		return e.print.object(reply)
--- a/apps/hawthornctl/internal/cli/drain.go
+++ b/apps/hawthornctl/internal/cli/drain.go
@@ -9,8 +9,7 @@
 )
 
 type drainCommand struct {
-	Operator     string        `env:"USER" default:"unknown" help:"Who asks; logged by the instance. Defaults to the user name."`
-	DrainTimeout time.Duration `help:"Longest wait for requests in flight; the instance's own setting if it is left out."`
+	Operator string `env:"USER" default:"unknown" help:"Who asks; logged by the instance. Defaults to the user name."`
 }
 
 // Help is shown by --help.
@@ -26,8 +25,7 @@
 	if len(e.global.Address) != 1 {
 		return withCode(ExitUsage, "drain stops one instance: give exactly one --address, not %d", len(e.global.Address))
 	}
-	request := operatorapi.DrainRequest{Operator: c.Operator, TimeoutMS: c.DrainTimeout.Milliseconds()}
-	reply, err := e.client.Drain(e.ctx, request)
+	reply, err := e.client.Drain(e.ctx, operatorapi.DrainRequest{Operator: c.Operator})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/apps/hawthornctl/internal/cli/global.go
+++ b/apps/hawthornctl/internal/cli/global.go
@@ -15,7 +15,7 @@
 // global holds the flags of all commands.
 type global struct {
 	Address     []string      `short:"a" env:"HAWTHORN_ADDRESS" default:"127.0.0.1:8080" placeholder:"ADDR" help:"HTTP address or URL of an instance; several, separated by commas, are tried in order."`
-	Timeout     time.Duration `default:"5s" help:"Longest wait for one answer (job submissions wait until the deadline)."`
+	Timeout     time.Duration `default:"10s" help:"Longest wait for one answer (job submissions wait until the deadline)."`
 	Tries       int           `default:"3" help:"Most times that a call is sent, over all addresses, when its answer is lost (1 to 20)."`
 	JSON        bool          `name:"json" help:"Write results as JSON."`
 	NoHeader    bool          `help:"Leave out the first line of tables."`
--- a/operatorapi/errorreply.go
+++ b/operatorapi/errorreply.go
@@ -7,6 +7,10 @@
 	Step     string `json:"step"`           // the step that failed, such as "forward to leader"
 	Peer     string `json:"peer,omitempty"` // the instance towards which it failed
 	Message  string `json:"message"`
+
+	// Status is the HTTP status of the answer. A status below 500 means that
+	// the call was refused and has changed nothing.
+	Status int `json:"-"`
 }
 
 // Error returns the failed step with its peer and the message.
