--- a/consensus/sysstate/config.go
+++ b/consensus/sysstate/config.go
@@ -36,11 +36,18 @@
 		Version: m.version, Author: command.Author, UnixMs: ctx.UnixMS,
 		OperationId: operationID, Summary: command.Summary,
 	}
+	m.record(change)
+	return &Answer{Change: proto.CloneOf(change)}
+}
+
+// record adds a change to the history and drops the oldest ones.
+func (m *Machine) record(change *Change) {
 	m.history = append(m.history, change)
-	if len(m.history) > MaxHistory {
+	m.historyBytes += len(change.Summary)
+	for len(m.history) > 1 && (len(m.history) > MaxHistory || m.historyBytes > MaxTextBytes) {
+		m.historyBytes -= len(m.history[0].Summary)
 		m.history = m.history[1:]
 	}
-	return &Answer{Change: proto.CloneOf(change)}
 }
 
 // changeAfter returns the change that replaced a version, or the newest one
--- a/consensus/sysstate/machine.go
+++ b/consensus/sysstate/machine.go
@@ -15,6 +15,10 @@
 	MaxHistory = 256
 	// MaxOperations is the number of operation IDs whose answers are kept.
 	MaxOperations = 1024
+	// MaxTextBytes bounds the texts that history and kept answers hold, in
+	// bytes each; the oldest ones go first. A summary of a large change has
+	// tens of kilobytes, and a snapshot has to fit into one frame of a link.
+	MaxTextBytes = 1 << 20
 	// MaxConfigBytes bounds the encoded system configuration, in bytes.
 	MaxConfigBytes = 4 << 20
 )
@@ -32,9 +36,11 @@
 	config     []byte
 	history    []*Change
 	operations []*Operation
-	byID       map[string]*Operation
-	centres    map[string]*lease.Agreement // by data centre
-	voters     map[string]string           // member ID by instance
+	// answerBytes and historyBytes are the sizes of the kept texts.
+	answerBytes, historyBytes int
+	byID                      map[string]*Operation
+	centres                   map[string]*lease.Agreement // by data centre
+	voters                    map[string]string           // member ID by instance
 }
 
 // NewMachine returns a machine with version 0 and an empty configuration.
@@ -94,12 +100,18 @@
 func (m *Machine) remember(operation *Operation) {
 	m.operations = append(m.operations, operation)
 	m.byID[operation.Id] = operation
-	if len(m.operations) > MaxOperations {
+	m.answerBytes += answerSize(operation.Answer)
+	for len(m.operations) > 1 && (len(m.operations) > MaxOperations || m.answerBytes > MaxTextBytes) {
+		m.answerBytes -= answerSize(m.operations[0].Answer)
 		delete(m.byID, m.operations[0].Id)
 		m.operations = m.operations[1:]
 	}
 }
 
+func answerSize(answer *Answer) int {
+	return len(answer.GetMessage()) + len(answer.GetChange().GetSummary())
+}
+
 // digestOf tells commands apart. For configurations it covers the fields and
 // not the encoding, which may differ between releases. The summary is left out:
 // it describes the change against the configuration at the time of the request,
--- a/consensus/sysstate/machine_test.go
+++ b/consensus/sysstate/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -78,6 +79,26 @@
 		Expect(l.config(0, "op-0", "ada", `{}`)).To(haveStatus(sysstate.Status_STATUS_VERSION_CONFLICT))
 	})
 
+	It("bounds the texts of history and answers, so that a snapshot fits into a frame", func() {
+		l := newLog()
+		author := strings.Repeat("x", 100<<10)
+		for i := range uint64(100) {
+			l.config(i, fmt.Sprint("op-", i), author, `{}`)
+		}
+		Expect(l.config(99, "op-99", author, `{}`).Repeated).To(BeTrue())
+		size := func() int {
+			data, err := l.machine.Snapshot()
+			Expect(err).NotTo(HaveOccurred())
+			return len(data)
+		}
+		Expect(size()).To(BeNumerically("<", 5<<20))
+		data, err := l.machine.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		l.machine = sysstate.NewMachine()
+		Expect(l.machine.Restore(data)).To(Succeed())
+		Expect(size()).To(Equal(len(data)))
+	})
+
 	It("sets the version itself and refuses what it cannot read", func() {
 		l := newLog()
 		l.config(0, "", "ada", `{"version":99,"classes":{"prints":{"name":"prints","rank":1}}}`)
--- a/consensus/sysstate/snapshot.go
+++ b/consensus/sysstate/snapshot.go
@@ -39,7 +39,10 @@
 		return errors.Annotate(err, "decode system configuration")
 	}
 	restored := NewMachine()
-	restored.version, restored.config, restored.history = state.Version, state.Config, state.History
+	restored.version, restored.config = state.Version, state.Config
+	for _, change := range state.History {
+		restored.record(change)
+	}
 	for _, operation := range state.Operations {
 		restored.remember(operation)
 	}
