Count authors and operation IDs in the bound of kept texts

Cause: the bound counted summaries and messages only. Ruled out: a bound on each text alone (many small ones add up). Before: 100 KB authors were kept beside the bound. After: all three are counted, and the spec's limit is 3 MiB instead of 5.

--- a/consensus/sysstate/config.go
+++ b/consensus/sysstate/config.go
@@ -43,9 +43,9 @@
 // record adds a change to the history and drops the oldest ones.
 func (m *Machine) record(change *Change) {
 	m.history = append(m.history, change)
-	m.historyBytes += len(change.Summary)
+	m.historyBytes += textSize(change)
 	for len(m.history) > 1 && (len(m.history) > MaxHistory || m.historyBytes > MaxTextBytes) {
-		m.historyBytes -= len(m.history[0].Summary)
+		m.historyBytes -= textSize(m.history[0])
 		m.history = m.history[1:]
 	}
 }
--- a/consensus/sysstate/machine.go
+++ b/consensus/sysstate/machine.go
@@ -109,7 +109,11 @@
 }
 
 func answerSize(answer *Answer) int {
-	return len(answer.GetMessage()) + len(answer.GetChange().GetSummary())
+	return len(answer.GetMessage()) + textSize(answer.GetChange())
+}
+
+func textSize(change *Change) int {
+	return len(change.GetSummary()) + len(change.GetAuthor()) + len(change.GetOperationId())
 }
 
 // digestOf tells commands apart. For configurations it covers the fields and
--- a/consensus/sysstate/machine_test.go
+++ b/consensus/sysstate/machine_test.go
@@ -91,7 +91,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			return len(data)
 		}
-		Expect(size()).To(BeNumerically("<", 5<<20))
+		Expect(size()).To(BeNumerically("<", 3<<20))
 		data, err := l.machine.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
 		l.machine = sysstate.NewMachine()
