--- a/apps/hawthorn-load/main.go
+++ b/apps/hawthorn-load/main.go
@@ -21,15 +21,17 @@
 }
 
 type experimentCommand struct {
-	Workload []string      `default:"resin,lanyards" help:"Workloads: resin, lanyards."`
-	Scenario []string      `default:"${scenarios}" help:"Scenarios: ${scenarios}."`
-	Policy   []string      `default:"hawthorn,random,least-loaded-of-two" help:"Policies to compare."`
-	Seed     uint64        `default:"1" help:"Seed of the arrivals and of all random choices."`
-	Seeds    uint64        `default:"1" help:"Number of seeds to run, counted up from the seed; the goals are given as mean and worst."`
-	Warmup   time.Duration `default:"60s" help:"Virtual time before the measured window."`
-	Measure  time.Duration `default:"60s" help:"Length of the measured window."`
-	Parallel int           `default:"4" help:"Runs at once."`
-	Report   string        `help:"Folder for report.json and the plots." type:"path"`
+	Workload  []string      `default:"resin,lanyards" help:"Workloads: resin, lanyards."`
+	Scenario  []string      `default:"${scenarios}" help:"Scenarios: ${scenarios}."`
+	Policy    []string      `default:"hawthorn,random,least-loaded-of-two" help:"Policies to compare."`
+	Seed      uint64        `default:"1" help:"Seed of the arrivals and of all random choices."`
+	Seeds     uint64        `default:"1" help:"Number of seeds to run, counted up from the seed; the goals are given as mean and worst."`
+	Warmup    time.Duration `default:"60s" help:"Virtual time before the measured window."`
+	Measure   time.Duration `default:"60s" help:"Length of the measured window."`
+	Instances int           `help:"Entry instances; 0 is the workload's number."`
+	Targets   int           `help:"Targets; 0 is the workload's number."`
+	Parallel  int           `default:"4" help:"Runs at once."`
+	Report    string        `help:"Folder for report.json and the plots." type:"path"`
 }
 
 func (c *experimentCommand) Run() error {
@@ -42,6 +44,12 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
+		if c.Instances > 0 {
+			w.Instances = c.Instances
+		}
+		if c.Targets > 0 {
+			w.Targets = c.Targets
+		}
 		suite.Workloads = append(suite.Workloads, w)
 	}
 	for _, name := range c.Policy {
