--- a/apps/hawthornctl/internal/cli/classes.go
+++ b/apps/hawthornctl/internal/cli/classes.go
@@ -10,7 +10,7 @@
 
 // Help is shown by --help.
 func (c *classesCommand) Help() string {
-	return `Asks every address given and prints a row per instance and class. During a flood look at WAITING, REFUSED and SLOTS against BASELINE: the flooding class has a full queue and refuses, the others keep their baseline.`
+	return `Asks every address given and prints a row per instance and class. During a flood look at WAITING against MAX-QUEUE, and at SLOTS (in use) against BASELINE (protected): the flooding class has a full queue, the others keep their baseline.`
 }
 
 // Run shows the load by class.
@@ -25,7 +25,7 @@
 			rows = append(rows, classRow(reply.Instance, &reply.Classes[i]))
 		}
 	}
-	header := []string{"INSTANCE", "CLASS", "RANK", "BASELINE", "SLOTS", "RUNNING", "WAITING", "MAX-QUEUE", "STARTED", "REFUSED", "WAIT-MS", "RUN-P50-MS", "RUN-P99-MS"}
+	header := []string{"INSTANCE", "CLASS", "RANK", "BASELINE", "SLOTS", "RUNNING", "WAITING", "MAX-QUEUE", "RUN-P50-MS", "RUN-P99-MS"}
 	return firstError(e.print.table(header, rows), err)
 }
 
@@ -33,8 +33,7 @@
 	return []string{
 		instance, c.Name, strconv.Itoa(c.Rank), formatSlots(c.BaselineSlots), formatSlots(c.AllocatedSlots),
 		strconv.Itoa(c.RunningTasks), strconv.Itoa(c.WaitingTasks), strconv.Itoa(c.MaxQueue),
-		strconv.FormatUint(c.StartedTasks, 10), strconv.FormatUint(c.RefusedJobs, 10),
-		strconv.FormatInt(c.WaitMS, 10), strconv.FormatInt(c.RunP50MS, 10), strconv.FormatInt(c.RunP99MS, 10),
+		strconv.FormatInt(c.RunP50MS, 10), strconv.FormatInt(c.RunP99MS, 10),
 	}
 }
 
--- a/apps/hawthornctl/internal/cli/targets.go
+++ b/apps/hawthornctl/internal/cli/targets.go
@@ -12,7 +12,7 @@
 
 // Help is shown by --help.
 func (c *targetsCommand) Help() string {
-	return `Asks every address given and merges the lists; of a target that several instances know, the newest announcement is shown. An instance knows the targets whose slots it manages, so give the addresses of all instances of a data centre.`
+	return `Asks every address given and merges the lists; of a target that several instances know, an entry that can take work is preferred. An instance knows the targets whose slots it manages, so give the addresses of all instances of a data centre.`
 }
 
 // Run lists the targets.
@@ -26,22 +26,23 @@
 	for i := range targets {
 		rows = append(rows, targetRow(&targets[i]))
 	}
-	header := []string{"TARGET", "STATE", "SLOTS", "FREE", "RUNNING", "WORKER", "RACK", "ADDRESS", "MANAGER", "HEARD-MS", "EJECTED"}
+	header := []string{"TARGET", "STATE", "SLOTS", "FREE", "RUNNING", "WORKER", "RACK", "ADDRESS", "MANAGER", "UNUSABLE"}
 	return firstError(e.print.table(header, rows), err)
 }
 
-// mergeTargets keeps the entry with the newest announcement of each target.
+// mergeTargets keeps one entry of each target: while its manager changes, two
+// instances may know it, and the earlier one gets no announcements any more.
 func mergeTargets(replies []operatorapi.Targets) []operatorapi.Target {
-	newest := map[string]operatorapi.Target{}
+	byID := map[string]operatorapi.Target{}
 	for _, reply := range replies {
 		for _, target := range reply.Targets {
-			if known, ok := newest[target.TargetID]; !ok || target.HeardMS < known.HeardMS {
-				newest[target.TargetID] = target
+			if known, ok := byID[target.TargetID]; !ok || known.Ejected != "" {
+				byID[target.TargetID] = target
 			}
 		}
 	}
-	merged := make([]operatorapi.Target, 0, len(newest))
-	for _, target := range newest {
+	merged := make([]operatorapi.Target, 0, len(byID))
+	for _, target := range byID {
 		merged = append(merged, target)
 	}
 	slices.SortFunc(merged, func(a, b operatorapi.Target) int { return cmp.Compare(a.TargetID, b.TargetID) })
@@ -51,6 +52,6 @@
 func targetRow(t *operatorapi.Target) []string {
 	return []string{
 		t.TargetID, string(t.State), strconv.Itoa(t.Slots), strconv.Itoa(t.FreeSlots), strconv.Itoa(t.Running),
-		t.Worker, t.Rack, t.Address, t.Manager, strconv.FormatInt(t.HeardMS, 10), t.Ejected,
+		t.Worker, t.Rack, t.Address, t.Manager, t.Ejected,
 	}
 }
--- a/operatorapi/classes.go
+++ b/operatorapi/classes.go
@@ -8,19 +8,15 @@
 	Classes  []ClassLoad `json:"classes"` // ordered by rank and name
 }
 
-// ClassLoad is the load and the learned figures of one class. Counters start
-// at the start of the instance.
+// ClassLoad is the load and the learned run times of one class.
 type ClassLoad struct {
 	structs.Class
-	BaselineSlots  float64      `json:"baseline_slots"`  // protected part, declared or learned
-	AllocatedSlots float64      `json:"allocated_slots"` // slots the class may use now
-	RunningTasks   int          `json:"running_tasks"`
+	BaselineSlots  float64      `json:"baseline_slots"`  // protected part of the managed slots, declared or learned
+	AllocatedSlots float64      `json:"allocated_slots"` // managed slots that the class uses, lent ones included
+	RunningTasks   int          `json:"running_tasks"`   // of jobs that the instance owns
 	WaitingTasks   int          `json:"waiting_tasks"`
-	StartedTasks   uint64       `json:"started_tasks"`
-	RefusedJobs    uint64       `json:"refused_jobs"`
 	RunP50MS       int64        `json:"run_p50_ms"` // learned run time; 0 until learned
 	RunP99MS       int64        `json:"run_p99_ms"`
-	WaitMS         int64        `json:"wait_ms"` // predicted wait of a new task
 	Tenants        []TenantLoad `json:"tenants,omitempty"`
 }
 
