Scale quotas with the targets of an experiment

Ruled out as the cause by a trial: requests to peers that are held too long and instances that all ask the same peer.

--- a/apps/hawthorn-load/http.go
+++ b/apps/hawthorn-load/http.go
@@ -40,9 +40,7 @@
 	if err := w.Rename(c.Classes, c.Tenants); err != nil {
 		return errors.Trace(err)
 	}
-	if c.Targets > 0 {
-		w.Targets = c.Targets
-	}
+	w.Resize(0, c.Targets)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	result, err := experiment.GenerateLoad(ctx, &experiment.LoadOptions{
--- a/apps/hawthorn-load/main.go
+++ b/apps/hawthorn-load/main.go
@@ -44,12 +44,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		if c.Instances > 0 {
-			w.Instances = c.Instances
-		}
-		if c.Targets > 0 {
-			w.Targets = c.Targets
-		}
+		w.Resize(c.Instances, c.Targets)
 		suite.Workloads = append(suite.Workloads, w)
 	}
 	for _, name := range c.Policy {
--- a/experiment/workload.go
+++ b/experiment/workload.go
@@ -141,6 +141,21 @@
 	return nil
 }
 
+// Resize changes the numbers of instances and targets; 0 keeps a number. Quotas
+// change with the targets, so that tenants keep their parts.
+func (w *Workload) Resize(instances, targets int) {
+	if instances > 0 {
+		w.Instances = instances
+	}
+	if targets <= 0 {
+		return
+	}
+	for i := range w.Tenants {
+		w.Tenants[i].QuotaSlots = w.Tenants[i].QuotaSlots * targets / w.Targets
+	}
+	w.Targets = targets
+}
+
 // slots returns the slots of the whole fleet.
 func (w *Workload) slots() int { return w.Targets * w.Slots }
 
