--- a/apps/hawthorn-load/http.go
+++ b/apps/hawthorn-load/http.go
@@ -47,9 +47,7 @@
 			return errors.Trace(err)
 		}
 	}
-	if c.Targets > 0 {
-		w.Targets = c.Targets
-	}
+	w.Resize(0, c.Targets)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	result, err := experiment.GenerateLoad(ctx, &experiment.LoadOptions{
--- a/server/messages.go
+++ b/server/messages.go
@@ -15,7 +15,8 @@
 )
 
 // HandleMessage takes a one-way message of a peer.
-func (s *Server) HandleMessage(peer string, message *wire.Envelope) {
+func (s *Server) HandleMessage(from *wire.Hello, message *wire.Envelope) {
+	peer := from.GetInstance()
 	switch body := message.GetBody().(type) {
 	case *wire.Envelope_Heartbeat:
 		s.handleHeartbeat(peer, body.Heartbeat)
@@ -50,7 +51,7 @@
 		}})
 	case *wire.Envelope_LeasePromised:
 		s.post(input{lease: lease.PromiseAnswered{
-			Peer: peer, Incarnation: s.places.incarnation(peer), Sequence: body.LeasePromised.GetSequence(),
+			Peer: peer, Incarnation: from.GetIncarnation(), Sequence: body.LeasePromised.GetSequence(),
 			Granted: body.LeasePromised.GetGranted(), Epoch: body.LeasePromised.GetEpoch(),
 		}})
 	case *wire.Envelope_HandOver:
--- a/server/operators.go
+++ b/server/operators.go
@@ -139,13 +139,10 @@
 		Instance:   peer.Name,
 		DataCentre: peer.DataCentre,
 		Link:       peer.Address,
-		State:      operatorapi.MemberDead,
+		State:      s.places.state(peer.Name),
 		Role:       s.role(peer.Name),
 		Agreed:     slices.Contains(s.places.agreed(peer.DataCentre), peer.Name),
 	}
-	if s.places.isLive(peer.Name) {
-		member.State = operatorapi.MemberAlive
-	}
 	if peer.Name == s.options.Name {
 		member.Incarnation = strconv.FormatUint(s.options.Incarnation, 10)
 		member.Draining = s.draining.Load()
@@ -280,7 +277,7 @@
 		return
 	}
 	if s.static {
-		s.operatorError(w, http.StatusConflict, "apply configuration", errNoVoters)
+		s.operatorError(w, http.StatusNotImplemented, "apply configuration", errNoVoters)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
@@ -330,6 +327,7 @@
 	writeJSON(w, http.StatusAccepted, operatorapi.DrainReply{
 		Instance:     s.options.Name,
 		OpenRequests: s.requests.open(),
+		RunningTasks: s.attempts.open(),
 		TimeoutMS:    s.options.DrainTimeout.Milliseconds(),
 	})
 }
--- a/server/places.go
+++ b/server/places.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hawthornshore.example/claims"
+	"hawthornshore.example/operatorapi"
 	"hawthornshore.example/structs"
 	"hawthornshore.example/wire"
 )
@@ -21,6 +22,7 @@
 	home       map[string]string   // data centre of each instance
 	live       map[string]bool
 	draining   map[string]bool
+	states     map[string]operatorapi.MemberState
 	// incarnations and beats are what the links told of each peer.
 	incarnations map[string]string
 	beats        map[string]beat
@@ -34,6 +36,7 @@
 		home:       make(map[string]string),
 		live:       make(map[string]bool),
 		draining:   make(map[string]bool),
+		states:     map[string]operatorapi.MemberState{options.Name: operatorapi.MemberAlive},
 
 		incarnations: make(map[string]string),
 		beats:        make(map[string]beat),
@@ -103,9 +106,39 @@
 	defer p.mu.Unlock()
 	changed := p.live[instance] != live
 	p.live[instance] = live
+	if live {
+		p.states[instance] = operatorapi.MemberAlive
+	}
 	return changed
 }
 
+// suspect records that an instance does not answer. It still counts as alive.
+func (p *places) suspect(instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states[instance] = operatorapi.MemberSuspect
+}
+
+// lost records whether an instance that is not alive has left gracefully.
+func (p *places) lost(instance string, left bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states[instance] = operatorapi.MemberDead
+	if left {
+		p.states[instance] = operatorapi.MemberLeft
+	}
+}
+
+// state returns what operators are told of an instance.
+func (p *places) state(instance string) operatorapi.MemberState {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if state, ok := p.states[instance]; ok {
+		return state
+	}
+	return operatorapi.MemberDead
+}
+
 // setDraining records whether an instance is about to stop, and reports whether
 // that has changed.
 func (p *places) setDraining(instance string, draining bool) bool {
@@ -154,13 +187,6 @@
 	return b, ok
 }
 
-// isLive reports whether an instance is alive.
-func (p *places) isLive(instance string) bool {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return p.live[instance]
-}
-
 // isNeighbour reports whether an instance serves the own data centre.
 func (p *places) isNeighbour(instance string) bool {
 	p.mu.RLock()
--- a/wire/handler.go
+++ b/wire/handler.go
@@ -12,8 +12,10 @@
 // called from several goroutines and must not block for long, except
 // HandleCall.
 type Handler interface {
-	// HandleMessage takes a one-way message, heartbeats included.
-	HandleMessage(peer string, message *Envelope)
+	// HandleMessage takes a one-way message, heartbeats included. The hello is
+	// that of the link which delivered it, so that a late message of an earlier
+	// process is not taken for one of the present process.
+	HandleMessage(peer *Hello, message *Envelope)
 	// HandleCall answers a request. An error is sent to the peer as text.
 	HandleCall(ctx context.Context, peer string, request *Envelope) (*Envelope, error)
 	// LinkUp and LinkDown report changes of the link to a peer.
--- a/wire/link.go
+++ b/wire/link.go
@@ -144,7 +144,7 @@
 			return fmt.Errorf("read: %w", err)
 		}
 		l.lastHeard.Store(int64(time.Since(l.start)))
-		handler.HandleMessage(l.peer.GetInstance(), message)
+		handler.HandleMessage(l.peer, message)
 	}
 }
 
--- a/wire/mesh_test.go
+++ b/wire/mesh_test.go
@@ -26,7 +26,7 @@
 	seen []*wire.Envelope
 }
 
-func (r *recorder) HandleMessage(_ string, message *wire.Envelope) {
+func (r *recorder) HandleMessage(_ *wire.Hello, message *wire.Envelope) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if message.GetHeartbeat() == nil {
