Cancel and query jobs in the random schedules

Cause: the schedules brought submissions only; a cancellation before, during or after a takeover must not turn a job that ran into not-run either. Ruled out: a schedule of its own; the interplay with the other faults counts. Before: submissions. Conclusion: no change of the core was needed.

--- a/claims/node_test.go
+++ b/claims/node_test.go
@@ -93,8 +93,13 @@
 
 func (n *node) claimsStep(ev claims.Event) {
 	n.do(func() {
-		if s, ok := ev.(claims.Submit); ok {
-			n.group.pending[requestKey{n.process(), s.Request}] = true
+		switch e := ev.(type) {
+		case claims.Submit:
+			n.group.pending[requestKey{n.process(), e.Request}] = true
+		case claims.Cancel:
+			n.group.pending[requestKey{n.process(), e.Request}] = true
+		case claims.Query:
+			n.group.pending[requestKey{n.process(), e.Request}] = true
 		}
 		n.claims.Step(n.clock(), ev)
 		n.carryOut()
@@ -268,7 +273,11 @@
 // submit brings a submission straight to one instance. The server gives each
 // request a number of its own, so that one number never comes twice.
 func (g *group) submit(n *node, job structs.Job) {
+	g.request(n, func(r claims.RequestID) claims.Event { return claims.Submit{Request: r, Job: job, Digest: 1} })
+}
+
+func (g *group) request(n *node, event func(claims.RequestID) claims.Event) {
 	g.requests++
-	request := g.requests
-	g.after(g.upTo(10*time.Millisecond), func() { n.claimsStep(claims.Submit{Request: request, Job: job, Digest: 1}) })
+	ev := event(g.requests)
+	g.after(g.upTo(10*time.Millisecond), func() { n.claimsStep(ev) })
 }
--- a/claims/schedule_test.go
+++ b/claims/schedule_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hawthornshore.example/claims"
 	"hawthornshore.example/structs"
 )
 
@@ -70,6 +71,9 @@
 		ID:             structs.JobIDAt(at, g.rng.Uint64()),
 		DeadlineUnixMS: g.now.Add(g.upTo(6 * time.Second)).UnixMilli(),
 	}
+	if g.rng.IntN(5) == 0 {
+		g.disown(job.ID)
+	}
 	for _, n := range g.nodes {
 		delay := g.upTo(20 * time.Millisecond)
 		if g.rng.IntN(2) == 0 {
@@ -79,6 +83,21 @@
 	}
 }
 
+// disown cancels or queries a job at one instance, before or after its submission
+// arrives.
+func (g *group) disown(id structs.JobID) {
+	n := g.nodes[g.rng.IntN(len(g.nodes))]
+	cancel := g.rng.IntN(2) == 0
+	g.after(g.upTo(time.Second), func() {
+		g.request(n, func(r claims.RequestID) claims.Event {
+			if cancel {
+				return claims.Cancel{Request: r, JobID: id}
+			}
+			return claims.Query{Request: r, JobID: id}
+		})
+	})
+}
+
 // schedule runs one random schedule and returns the group with what it found.
 func schedule(seed uint64) *group {
 	g := newGroup(seed, 3+int(seed%3))
