Rename the directory of instances and group the state of a planned stop

Cause: newcomers could not tell what places, attemptOf and eight fields of Server were for. Ruled out: a package of its own for the directory (it has one user).

--- a/server/attempts.go
+++ b/server/attempts.go
@@ -43,7 +43,7 @@
 			s.post(input{dispatch: dispatch.AttemptAccepted{Attempt: e.Attempt}})
 		},
 	}
-	result := s.targets.Start(s.attemptOf, e.Target, call)
+	result := s.targets.Start(s.lifetime, e.Target, call)
 	if result.Outcome == targetapi.StartSilent {
 		s.metrics.attemptSilent.Inc()
 		s.log.Warn().Str("event", "attempt_silent").Str("attempt_id", e.Attempt.String()).
@@ -87,7 +87,7 @@
 		}
 		select {
 		case <-time.After(resolveInterval):
-		case <-s.attemptOf.Done():
+		case <-s.lifetime.Done():
 			return
 		}
 	}
@@ -95,7 +95,7 @@
 }
 
 func (s *Server) resolveOnce(e dispatch.ResolveAttempt) dispatch.Event {
-	ctx, cancel := context.WithTimeout(s.attemptOf, resolveTimeout)
+	ctx, cancel := context.WithTimeout(s.lifetime, resolveTimeout)
 	defer cancel()
 	report, err := s.targets.Resolve(ctx, e.Target, e.Attempt)
 	if err != nil {
@@ -109,7 +109,7 @@
 // cancelAttempt tells a target to stop an attempt.
 func (s *Server) cancelAttempt(e dispatch.CancelAttempt) {
 	defer s.attempts.done()
-	ctx, cancel := context.WithTimeout(s.attemptOf, cancelTimeout)
+	ctx, cancel := context.WithTimeout(s.lifetime, cancelTimeout)
 	defer cancel()
 	if _, err := s.targets.Cancel(ctx, e.Target, e.Attempt); err != nil {
 		s.log.Debug().Str("event", "cancel_failed").Str("attempt_id", e.Attempt.String()).
--- a/server/places.go
+++ b/server/directory.go
@@ -11,10 +11,10 @@
 	"hawthornshore.example/wire"
 )
 
-// places knows which instances serve which data centre: the agreed members,
+// directory knows which instances serve which data centre: the agreed members,
 // which decide who owns a job ID, and the live ones, which decide who manages a
 // target's slots. It is safe for concurrent use.
-type places struct {
+type directory struct {
 	self       string
 	dataCentre string
 	mu         sync.RWMutex
@@ -28,8 +28,8 @@
 	beats        map[string]beat
 }
 
-func newPlaces(options Options) *places {
-	p := &places{
+func newDirectory(options Options) *directory {
+	p := &directory{
 		self:       options.Name,
 		dataCentre: options.DataCentre,
 		members:    make(map[string][]string),
@@ -49,21 +49,21 @@
 	return p
 }
 
-func (p *places) add(instance, dataCentre string) {
+func (p *directory) add(instance, dataCentre string) {
 	p.members[dataCentre] = append(p.members[dataCentre], instance)
 	slices.Sort(p.members[dataCentre])
 	p.home[instance] = dataCentre
 }
 
 // agreed returns the agreed members of a data centre in a stable order.
-func (p *places) agreed(dataCentre string) []string {
+func (p *directory) agreed(dataCentre string) []string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return slices.Clone(p.members[dataCentre])
 }
 
 // agree takes the agreed members of a data centre.
-func (p *places) agree(dataCentre string, members []string) {
+func (p *directory) agree(dataCentre string, members []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(members) > 0 {
@@ -72,7 +72,7 @@
 }
 
 // owner returns the instance that owns a job ID; false for an unknown data centre.
-func (p *places) owner(id structs.JobID, dataCentre string) (string, bool) {
+func (p *directory) owner(id structs.JobID, dataCentre string) (string, bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	members := p.members[dataCentre]
@@ -83,7 +83,7 @@
 }
 
 // manager returns the live instance that manages a target's slots.
-func (p *places) manager(targetID string) string {
+func (p *directory) manager(targetID string) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	var live []string
@@ -101,7 +101,7 @@
 
 // setLive records whether an instance is alive, and reports whether that has
 // changed.
-func (p *places) setLive(instance string, live bool) bool {
+func (p *directory) setLive(instance string, live bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed := p.live[instance] != live
@@ -113,14 +113,14 @@
 }
 
 // suspect records that an instance does not answer. It still counts as alive.
-func (p *places) suspect(instance string) {
+func (p *directory) suspect(instance string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.states[instance] = operatorapi.MemberSuspect
 }
 
 // lost records whether an instance that is not alive has left gracefully.
-func (p *places) lost(instance string, left bool) {
+func (p *directory) lost(instance string, left bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.states[instance] = operatorapi.MemberDead
@@ -130,7 +130,7 @@
 }
 
 // state returns what operators are told of an instance.
-func (p *places) state(instance string) operatorapi.MemberState {
+func (p *directory) state(instance string) operatorapi.MemberState {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	if state, ok := p.states[instance]; ok {
@@ -141,7 +141,7 @@
 
 // setDraining records whether an instance is about to stop, and reports whether
 // that has changed.
-func (p *places) setDraining(instance string, draining bool) bool {
+func (p *directory) setDraining(instance string, draining bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	changed := p.draining[instance] != draining
@@ -151,7 +151,7 @@
 
 // newIncarnation records the process behind a link, and reports whether another
 // process of the instance was known before.
-func (p *places) newIncarnation(instance, incarnation string) bool {
+func (p *directory) newIncarnation(instance, incarnation string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.incarnations[instance]
@@ -160,7 +160,7 @@
 }
 
 // incarnation returns the process behind the link to an instance.
-func (p *places) incarnation(instance string) string {
+func (p *directory) incarnation(instance string) string {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return p.incarnations[instance]
@@ -173,14 +173,14 @@
 }
 
 // heard records a heartbeat.
-func (p *places) heard(instance string, message *wire.Heartbeat) {
+func (p *directory) heard(instance string, message *wire.Heartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.beats[instance] = beat{at: time.Now(), message: message}
 }
 
 // lastBeat returns the last heartbeat of a peer.
-func (p *places) lastBeat(instance string) (beat, bool) {
+func (p *directory) lastBeat(instance string) (beat, bool) {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	b, ok := p.beats[instance]
@@ -188,7 +188,7 @@
 }
 
 // isNeighbour reports whether an instance serves the own data centre.
-func (p *places) isNeighbour(instance string) bool {
+func (p *directory) isNeighbour(instance string) bool {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	return instance != p.self && p.home[instance] == p.dataCentre
--- a/server/drain.go
+++ b/server/drain.go
@@ -2,17 +2,37 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"hawthornshore.example/claims"
 	"hawthornshore.example/dispatch"
 	"hawthornshore.example/membership"
 )
 
+// plannedStop is how far a graceful stop of the instance has come.
+type plannedStop struct {
+	draining   atomic.Bool
+	once       sync.Once
+	requested  chan struct{}          // closed by an operator's request
+	handedOver chan claims.HandedOver // holds the latest hand-over
+	left       chan struct{}          // closed when the voters have removed this instance
+}
+
+func newPlannedStop() *plannedStop {
+	return &plannedStop{
+		requested:  make(chan struct{}),
+		handedOver: make(chan claims.HandedOver, 1),
+		left:       make(chan struct{}),
+	}
+}
+
 // drain carries out a planned stop: the balancer is told first, then requests
 // in flight are finished.
 func (s *Server) drain() {
-	s.draining.Store(true)
-	s.places.setDraining(s.options.Name, true)
+	s.stop.draining.Store(true)
+	s.directory.setDraining(s.options.Name, true)
 	s.log.Info().Str("event", "drain_started").Send()
 	s.reviewTargets()
 	time.Sleep(s.options.DrainDelay)
--- a/server/effects.go
+++ b/server/effects.go
@@ -34,10 +34,10 @@
 // reportHandedOver replaces an earlier report that nobody has taken yet.
 func (s *Server) reportHandedOver(e claims.HandedOver) {
 	select {
-	case <-s.handedOver:
+	case <-s.stop.handedOver:
 	default:
 	}
-	s.handedOver <- e
+	s.stop.handedOver <- e
 }
 
 // dispatchEffect carries out an effect of the dispatch core.
--- a/server/handover.go
+++ b/server/handover.go
@@ -45,7 +45,7 @@
 		digest:     e.Submit.Digest,
 		answerTime: answerTime(wire.JobAction_JOB_ACTION_SUBMIT, &job),
 	}
-	ctx, cancel := context.WithDeadline(s.attemptOf, sub.answerTime)
+	ctx, cancel := context.WithDeadline(s.lifetime, sub.answerTime)
 	defer cancel()
 	s.waiters.answer(e.Submit.Request, s.route(ctx, sub))
 }
@@ -59,13 +59,13 @@
 	defer cancel()
 	var done claims.HandedOver
 	select {
-	case done = <-s.handedOver:
+	case done = <-s.stop.handedOver:
 	case <-handing.Done():
 		s.log.Warn().Str("event", "hand_over_incomplete").Str("step", "hand over").Send()
 	}
 	s.post(input{lease: lease.Leave{Token: done.Token, Epoch: done.Epoch}})
 	select {
-	case <-s.left:
+	case <-s.stop.left:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/server/http.go
+++ b/server/http.go
@@ -43,7 +43,7 @@
 func (s *Server) notReady() string {
 	ownership := s.ownership.Load()
 	switch {
-	case s.draining.Load():
+	case s.stop.draining.Load():
 		return "draining"
 	case s.configVersion.Load() == 0 && !s.static:
 		return "waiting for the system configuration"
@@ -132,7 +132,7 @@
 		writeJSON(w, http.StatusBadRequest, targetapi.AnnounceReply{Instance: s.options.Name, Message: err.Error()})
 		return
 	}
-	manager := s.places.manager(announcement.TargetID)
+	manager := s.directory.manager(announcement.TargetID)
 	if err := s.passAnnouncement(manager, &announcement); err != nil {
 		writeJSON(w, http.StatusServiceUnavailable, targetapi.AnnounceReply{Instance: s.options.Name, Manager: manager, Message: err.Error()})
 		return
--- a/server/http_test.go
+++ b/server/http_test.go
@@ -140,7 +140,7 @@
 		Eventually(func() string { return call(handler, http.MethodGet, "/readyz", "").Body.String() }).
 			Should(ContainSubstring("horizon"))
 		Eventually(func() int { return call(handler, http.MethodGet, "/readyz", "").Code }, "20s").Should(Equal(http.StatusOK))
-		s.draining.Store(true)
+		s.stop.draining.Store(true)
 		Expect(call(handler, http.MethodGet, "/readyz", "").Code).To(Equal(http.StatusServiceUnavailable))
 	})
 })
--- a/server/jobs.go
+++ b/server/jobs.go
@@ -37,7 +37,7 @@
 
 // route gets the answer for a submission from the owner of its job ID.
 func (s *Server) route(ctx context.Context, sub *submission) structs.Answer {
-	owner, ok := s.places.owner(sub.job.ID, sub.job.DataCentre)
+	owner, ok := s.directory.owner(sub.job.ID, sub.job.DataCentre)
 	if !ok {
 		return structs.Answer{
 			JobID:   sub.job.ID,
@@ -102,7 +102,7 @@
 				fmt.Sprintf("no answer from owner %s: %v", owner, err))
 		}
 		// The owner may have changed in the meantime.
-		if current, ok := s.places.owner(sub.job.ID, sub.job.DataCentre); ok {
+		if current, ok := s.directory.owner(sub.job.ID, sub.job.DataCentre); ok {
 			owner = current
 		}
 		if owner == s.options.Name {
@@ -135,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	owner, ok := s.places.owner(job.ID, job.DataCentre)
+	owner, ok := s.directory.owner(job.ID, job.DataCentre)
 	if !ok || owner != s.options.Name {
 		return nil, errNotOwner
 	}
--- a/server/leases.go
+++ b/server/leases.go
@@ -34,13 +34,13 @@
 	case lease.LeaseChanged:
 		s.leaseChanged(&e)
 	case lease.Left:
-		close(s.left)
+		close(s.stop.left)
 	}
 }
 
 // proposeLease brings a command to the voters and its result back.
 func (s *Server) proposeLease(e lease.Propose) {
-	ctx, cancel := context.WithTimeout(s.attemptOf, proposeTimeout)
+	ctx, cancel := context.WithTimeout(s.lifetime, proposeTimeout)
 	defer cancel()
 	result, err := s.control.ProposeLease(ctx, s.options.DataCentre, &e.Command)
 	if err != nil {
@@ -52,7 +52,7 @@
 
 func (s *Server) membersAgreed(e *lease.MembersAgreed) {
 	names := e.View.Names()
-	s.places.agree(s.options.DataCentre, names)
+	s.directory.agree(s.options.DataCentre, names)
 	s.metrics.epoch.Set(e.View.Epoch)
 	s.log.Info().Str("event", "members_agreed").Uint64("epoch", e.View.Epoch).
 		Str("members", strings.Join(names, ",")).Str("left", e.View.Left).Send()
@@ -87,6 +87,6 @@
 			s.post(input{lease: lease.ViewLearned{View: view}})
 			continue
 		}
-		s.places.agree(centre, view.Names())
+		s.directory.agree(centre, view.Names())
 	}
 }
--- a/server/members.go
+++ b/server/members.go
@@ -73,11 +73,11 @@
 		s.memberLive(e.Name, true)
 	case membership.MemberSuspected:
 		s.log.Info().Str("event", "member_suspected").Str("peer", e.Name).Send()
-		s.places.suspect(e.Name)
+		s.directory.suspect(e.Name)
 	case membership.MemberDown:
 		s.log.Warn().Str("event", "member_down").Str("peer", e.Name).Bool("left", e.Left).Send()
 		s.memberLive(e.Name, false)
-		s.places.lost(e.Name, e.Left)
+		s.directory.lost(e.Name, e.Left)
 	case membership.ClockChanged:
 		s.clockChanged(&e)
 	}
@@ -103,7 +103,7 @@
 
 // memberLive records whether an instance may manage targets.
 func (s *Server) memberLive(instance string, live bool) {
-	if s.places.setLive(instance, live) {
+	if s.directory.setLive(instance, live) {
 		s.reviewTargets()
 	}
 }
--- a/server/messages.go
+++ b/server/messages.go
@@ -88,7 +88,7 @@
 		s.log.Error().Str("event", "hello_malformed").Str("peer", name).Err(err).Send()
 	}
 	s.detector.notice(membership.PeerFound{Peer: name, Incarnation: incarnation})
-	if s.places.isNeighbour(name) && s.places.newIncarnation(name, peer.GetIncarnation()) {
+	if s.directory.isNeighbour(name) && s.directory.newIncarnation(name, peer.GetIncarnation()) {
 		s.post(input{claims: claims.PeerRestarted{Peer: name}})
 	}
 	s.log.Info().Str("event", "link_up").Str("peer", peer.GetInstance()).
@@ -112,7 +112,7 @@
 	beat := &wire.Heartbeat{
 		ClockUnixMs:   time.Now().UnixMilli(),
 		ConfigVersion: s.configVersion.Load(),
-		Draining:      s.draining.Load(),
+		Draining:      s.stop.draining.Load(),
 	}
 	if !s.static {
 		state := s.control.State()
@@ -131,12 +131,12 @@
 
 func (s *Server) handleHeartbeat(peer string, beat *wire.Heartbeat) {
 	s.control.HeardVersion(peer, beat.GetStateVersion())
-	s.places.heard(peer, beat)
+	s.directory.heard(peer, beat)
 	s.detector.notice(membership.HeartbeatReceived{Peer: peer})
-	if s.places.setDraining(peer, beat.GetDraining()) {
+	if s.directory.setDraining(peer, beat.GetDraining()) {
 		s.reviewTargets()
 	}
-	if s.places.isNeighbour(peer) {
+	if s.directory.isNeighbour(peer) {
 		s.post(input{dispatch: dispatch.PeerSlots{
 			Peer: peer, Free: int(beat.GetFreeSlots()), Total: int(beat.GetTotalSlots()),
 			MaxCores: beat.GetMaxCores(), MaxMB: beat.GetMaxMb(),
--- a/server/operators.go
+++ b/server/operators.go
@@ -103,7 +103,7 @@
 		OpenRequests:  s.requests.open(),
 	}
 	switch {
-	case s.draining.Load():
+	case s.stop.draining.Load():
 		status.State = operatorapi.InstanceDraining
 	case status.NotReady != "":
 		status.State = operatorapi.InstanceStarting
@@ -139,18 +139,18 @@
 		Instance:   peer.Name,
 		DataCentre: peer.DataCentre,
 		Link:       peer.Address,
-		State:      s.places.state(peer.Name),
+		State:      s.directory.state(peer.Name),
 		Role:       s.role(peer.Name),
-		Agreed:     slices.Contains(s.places.agreed(peer.DataCentre), peer.Name),
+		Agreed:     slices.Contains(s.directory.agreed(peer.DataCentre), peer.Name),
 	}
 	if peer.Name == s.options.Name {
 		member.Incarnation = strconv.FormatUint(s.options.Incarnation, 10)
-		member.Draining = s.draining.Load()
+		member.Draining = s.stop.draining.Load()
 		member.ConfigVersion = s.configVersion.Load()
 		return member
 	}
-	member.Incarnation = s.places.incarnation(peer.Name)
-	if last, ok := s.places.lastBeat(peer.Name); ok {
+	member.Incarnation = s.directory.incarnation(peer.Name)
+	if last, ok := s.directory.lastBeat(peer.Name); ok {
 		member.Draining = last.message.GetDraining()
 		member.ConfigVersion = last.message.GetConfigVersion()
 		member.FreeSlots = int(last.message.GetFreeSlots())
@@ -334,5 +334,5 @@
 
 // requestDrain makes Run drain and return.
 func (s *Server) requestDrain() {
-	s.drainOnce.Do(func() { close(s.drainRequested) })
+	s.stop.once.Do(func() { close(s.stop.requested) })
 }
--- a/server/server.go
+++ b/server/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,56 +23,49 @@
 
 // Server is one entry instance.
 type Server struct {
-	options  Options
-	log      zerolog.Logger
-	decider  *decider
-	mesh     *wire.Mesh
-	targets  *targetapi.Client
-	places   *places
-	waiters  *waiters
-	metrics  *metrics
-	control  *control.Control
-	detector *detector
-	http     *http.Server
+	options   Options
+	log       zerolog.Logger
+	decider   *decider
+	mesh      *wire.Mesh
+	targets   *targetapi.Client
+	directory *directory
+	waiters   *waiters
+	metrics   *metrics
+	control   *control.Control
+	detector  *detector
+	http      *http.Server
 	// static says that there is no voter: members are fixed by the settings.
 	static bool
 
-	draining atomic.Bool
 	// configVersion is the version of the configuration in force here.
-	configVersion  atomic.Uint64
-	lease          atomic.Pointer[lease.LeaseChanged]
-	ownership      atomic.Pointer[claims.Ownership]
-	clockOffset    atomic.Int64 // milliseconds ahead of the peers' median, when last reported
-	handedOver     chan claims.HandedOver
-	started        time.Time
-	drainOnce      sync.Once
-	drainRequested chan struct{} // closed by an operator's request
-	left           chan struct{} // closed when the voters have removed this instance
-	offer          atomic.Pointer[dispatch.Offer]
-	attempts       inflight // attempts being followed
-	requests       inflight // callers' requests in flight
-	attemptOf      context.Context
-	stopAll        context.CancelFunc
+	configVersion atomic.Uint64
+	lease         atomic.Pointer[lease.LeaseChanged]
+	ownership     atomic.Pointer[claims.Ownership]
+	clockOffset   atomic.Int64 // milliseconds ahead of the peers' median, when last reported
+	stop          *plannedStop
+	started       time.Time
+	offer         atomic.Pointer[dispatch.Offer]
+	attempts      inflight // attempts being followed
+	requests      inflight // callers' requests in flight
+	lifetime      context.Context
+	endLifetime   context.CancelFunc
 }
 
 // New returns a Server that starts work in Run.
 func New(options Options) *Server {
 	s := &Server{
-		options:  options,
-		log:      options.Logger.With().Str("instance", options.Name).Logger(),
-		places:   newPlaces(options),
-		detector: newDetector(&options),
-		waiters:  newWaiters(),
-		metrics:  newMetrics(),
-		static:   len(options.voters()) == 0,
+		options:   options,
+		log:       options.Logger.With().Str("instance", options.Name).Logger(),
+		directory: newDirectory(options),
+		detector:  newDetector(&options),
+		waiters:   newWaiters(),
+		metrics:   newMetrics(),
+		static:    len(options.voters()) == 0,
 
-		handedOver: make(chan claims.HandedOver, 1),
-		left:       make(chan struct{}),
-
-		started:        time.Now(),
-		drainRequested: make(chan struct{}),
+		stop:    newPlannedStop(),
+		started: time.Now(),
 	}
-	s.attemptOf, s.stopAll = context.WithCancel(context.Background())
+	s.lifetime, s.endLifetime = context.WithCancel(context.Background())
 	s.targets = targetapi.NewClient(targetapi.Options{OnMismatch: s.reportMismatch})
 	s.decider = s.newDecider()
 	s.mesh = s.newMesh()
@@ -117,7 +109,7 @@
 		return d
 	}
 	d.step(start, input{dispatch: dispatch.ConfigChanged{Config: s.options.Config}})
-	d.step(start, input{claims: claims.MembersChanged{Epoch: 1, Members: s.places.agreed(s.options.DataCentre)}})
+	d.step(start, input{claims: claims.MembersChanged{Epoch: 1, Members: s.directory.agreed(s.options.DataCentre)}})
 	d.step(start, input{
 		claims:   claims.LeaseChanged{Held: true},
 		dispatch: dispatch.LeaseChanged{Held: true},
@@ -152,7 +144,7 @@
 		Uint64("incarnation", s.options.Incarnation).
 		Str("http", s.options.HTTPListener.Addr().String()).
 		Str("link", s.options.LinkListener.Addr().String()).Send()
-	defer s.stopAll()
+	defer s.endLifetime()
 	inner, stopInner := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopInner()
 	group, inner := errgroup.WithContext(inner)
@@ -168,7 +160,7 @@
 		select {
 		case <-ctx.Done():
 			s.drain()
-		case <-s.drainRequested:
+		case <-s.stop.requested:
 			s.drain()
 		case <-inner.Done():
 		}
@@ -199,7 +191,7 @@
 // post hands an event to the decision loop. It fails only when the server
 // stops.
 func (s *Server) post(in input) {
-	if err := s.decider.post(s.attemptOf, in); err != nil {
+	if err := s.decider.post(s.lifetime, in); err != nil {
 		s.log.Warn().Str("event", "event_dropped").Str("step", "decide").Err(err).Send()
 	}
 }
--- a/server/targets.go
+++ b/server/targets.go
@@ -20,7 +20,7 @@
 func (s *Server) reviewTargets() {
 	s.post(input{inspect: func(_ *claims.Core, core *dispatch.Core) {
 		for _, id := range core.ManagedTargets() {
-			if s.places.manager(id) != s.options.Name {
+			if s.directory.manager(id) != s.options.Name {
 				s.postLater(input{dispatch: dispatch.TargetReleased{TargetID: id}})
 			}
 		}
