Let an instance without partitions become ready

Cause: with 16 instances in a data centre, i09 gets none of the 64 partitions by rendezvous hashing, and readiness asked for at least one. It reported "waiting for the lease of the owned job IDs" for ever, although it held the lease and could forward. With random names the probability that some instance gets none is at most 26% with 16 instances and 75% with 20.

After: an instance that owns nothing is ready while it holds the lease.

The configuration that scripts/capacity.sh writes has tenants with different names and values, so that it does not compress better than a real one.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -43,12 +43,17 @@
   done
 }
 
+# write_config writes tenants with names and values as different as real ones
+# may be, but for three with short names that load is sent for.
 write_config() { # folder tenants weight_of_first_tenant
-  local i
+  local i name
   mkdir -p "$1"
   printf '[class.c0]\nrank = 0\n[class.c1]\nrank = 1\n[class.c2]\nrank = 2\n' > "$1/10-classes.ini"
   for ((i = 0; i < $2; i++)); do
-    printf '[tenant.t%d]\nweight = %d\n' "$i" "$((i == 0 ? $3 : 1))"
+    name=t$i
+    if [ "$i" -ge 3 ]; then name=$(printf 'team-%08x' $((i * 2654435761 % 4294967296))); fi
+    printf '[tenant.%s]\nweight = %d\n' "$name" "$((i == 0 ? $3 : i % 9 + 1))"
+    if [ "$i" -ge 3 ]; then printf 'quota_slots = %d\n' $((i * 37 % 400 + 8)); fi
   done > "$1/20-tenants.ini"
 }
 
--- a/server/http.go
+++ b/server/http.go
@@ -40,6 +40,8 @@
 // notReady returns why new jobs should go elsewhere; empty if they need not. A
 // fresh instance cannot tell new job IDs from those of its earlier process, and
 // one that gained partitions cannot tell them from those of the earlier owner.
+// A member that owns no partition, as happens by chance in a data centre of 16
+// instances, only forwards jobs; it is ready once it holds the lease.
 func (s *Server) notReady() string {
 	ownership := s.ownership.Load()
 	switch {
@@ -47,7 +49,7 @@
 		return "draining"
 	case s.configVersion.Load() == 0 && !s.static:
 		return "waiting for the system configuration"
-	case ownership == nil || ownership.Owned == 0 || ownership.Ready < ownership.Owned:
+	case ownership == nil || ownership.Ready < ownership.Owned || ownership.Owned == 0 && !s.leaseHeld():
 		return "waiting for the lease of the owned job IDs"
 	case time.Now().Before(ownership.Horizon):
 		return "waiting for the recovery horizon to pass"
