--- a/dispatch/borrow.go
+++ b/dispatch/borrow.go
@@ -19,8 +19,8 @@
 	blindSlots = 4
 	// refusalPause is how long a peer that answered such a request with none is
 	// not asked again for the class; it doubles up to maxRefusalPause.
-	refusalPause    = 100 * time.Millisecond
-	maxRefusalPause = 2 * time.Second
+	refusalPause    = 1 * time.Second
+	maxRefusalPause = 8 * time.Second
 	// maxRequest bounds the slots in one request.
 	maxRequest = 64
 )
