Tell lenders how long the oldest task has waited

Cause: the core's requests for slots gained Waited, which the links did not carry, so every request looked new and instances with few targets came late. Before: not sent.

--- a/server/effects.go
+++ b/server/effects.go
@@ -60,6 +60,7 @@
 		s.metrics.slotRequests.Inc()
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotRequest{SlotRequest: &wire.SlotRequest{
 			Class: e.Class, Count: int32(e.Count), MinCores: e.MinCores, MinMb: e.MinMB,
+			WaitedUs: e.Waited.Microseconds(),
 		}}})
 	case dispatch.GrantSlots:
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotGrant{SlotGrant: loansToWire(now, &e)}})
--- a/server/messages.go
+++ b/server/messages.go
@@ -30,6 +30,7 @@
 		s.post(input{dispatch: dispatch.SlotsRequested{
 			Peer: peer, Class: body.SlotRequest.GetClass(), Count: int(body.SlotRequest.GetCount()),
 			MinCores: body.SlotRequest.GetMinCores(), MinMB: body.SlotRequest.GetMinMb(),
+			Waited: time.Duration(body.SlotRequest.GetWaitedUs()) * time.Microsecond,
 		}})
 	case *wire.Envelope_SlotGrant:
 		s.post(input{dispatch: dispatch.SlotsGranted{
