Send membership messages as protobuf instead of JSON

Cause: of the bytes that an idle entry instance with 7 peers sends, 46% were membership messages of 223 bytes each (bytes per message type, counted in a scratch copy: 7.8 of 17.0 KB in 10 s; heartbeats 2.2, promises 2.5, yamux headers most of the rest). The content is two names and up to nine updates.

Ruled out: fewer probes or updates, which would slow detection; heartbeats and promises at longer intervals, for the same reason.

The core's Message is unchanged; the event membership_malformed no longer exists, as a message that is not protobuf does not pass the link.

--- a/server/members.go
+++ b/server/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"hawthornshore.example/claims"
@@ -82,21 +81,51 @@
 }
 
 func (s *Server) sendMembership(e *membership.Send) {
-	data, err := json.Marshal(e.Message)
-	if err != nil {
-		s.log.Error().Str("event", "send_failed").Str("step", "encode membership").Str("peer", e.To).Err(err).Send()
-		return
+	s.send(e.To, &wire.Envelope{Body: &wire.Envelope_Membership{Membership: membershipToWire(&e.Message)}})
+}
+
+func (s *Server) handleMembership(message *wire.MembershipMessage) {
+	s.detector.notice(membership.MessageReceived{Message: membershipFromWire(message)})
+}
+
+func membershipToWire(m *membership.Message) *wire.MembershipMessage {
+	message := &wire.MembershipMessage{
+		Kind:        uint32(m.Kind),
+		From:        m.From,
+		Incarnation: m.Incarnation,
+		Sequence:    m.Sequence,
+		Subject:     m.Subject,
+		ForInstance: m.For,
+		ClockUnixMs: m.ClockUnixMS,
+	}
+	for i := range m.Updates {
+		message.Updates = append(message.Updates, &wire.MemberUpdate{
+			Name:        m.Updates[i].Name,
+			Incarnation: m.Updates[i].Incarnation,
+			Status:      uint32(m.Updates[i].Status),
+		})
 	}
-	s.send(e.To, &wire.Envelope{Body: &wire.Envelope_Membership{Membership: &wire.MembershipMessage{Data: data}}})
+	return message
 }
 
-func (s *Server) handleMembership(peer string, message *wire.MembershipMessage) {
-	var decoded membership.Message
-	if err := json.Unmarshal(message.GetData(), &decoded); err != nil {
-		s.log.Error().Str("event", "membership_malformed").Str("peer", peer).Err(err).Send()
-		return
+func membershipFromWire(message *wire.MembershipMessage) membership.Message {
+	m := membership.Message{
+		Kind:        membership.Kind(message.GetKind()),
+		From:        message.GetFrom(),
+		Incarnation: message.GetIncarnation(),
+		Sequence:    message.GetSequence(),
+		Subject:     message.GetSubject(),
+		For:         message.GetForInstance(),
+		ClockUnixMS: message.GetClockUnixMs(),
+	}
+	for _, update := range message.GetUpdates() {
+		m.Updates = append(m.Updates, membership.Update{
+			Name:        update.GetName(),
+			Incarnation: update.GetIncarnation(),
+			Status:      membership.Status(update.GetStatus()),
+		})
 	}
-	s.detector.notice(membership.MessageReceived{Message: decoded})
+	return m
 }
 
 // memberLive records whether an instance may manage targets.
--- a/server/messages.go
+++ b/server/messages.go
@@ -40,7 +40,7 @@
 			Failed: body.SlotReturn.GetFailed(), RunMS: body.SlotReturn.GetRunMs(),
 		}})
 	case *wire.Envelope_Membership:
-		s.handleMembership(peer, body.Membership)
+		s.handleMembership(body.Membership)
 	case *wire.Envelope_Consensus:
 		s.control.HandleConsensus(peer, body.Consensus)
 	case *wire.Envelope_LeasePromise:
