Leave the members out of answers to renewals in the known epoch

Cause: every instance renews its lease once a second through the leader, and each answer carried the whole view of the data centre: 96 bytes with 8 members of short names, growing with the members, so that the leader's bytes grew with the square of the data centre's size.

Ruled out: no view in any renewal's answer. A member that was not told of a new epoch learns of it from the answer (claims/lease, package comment). A view of the epoch that the command names changes nothing at the instance: the lease core drops views that are not newer than its own.

The replicated state is the same with and without this change.

--- a/consensus/sysstate/agreement.go
+++ b/consensus/sysstate/agreement.go
@@ -18,6 +18,11 @@
 		m.centres[command.DataCentre] = agreement
 	}
 	result := agreement.Apply(CommandFromProto(command))
+	if result.View.Epoch == command.Epoch {
+		// The instance named the epoch, so that it knows the view. Renewals
+		// are the most frequent command, and views grow with the members.
+		result.View.Members = nil
+	}
 	return &Answer{Lease: resultToProto(&result)}
 }
 
--- a/consensus/sysstate/machine_test.go
+++ b/consensus/sysstate/machine_test.go
@@ -122,6 +122,24 @@
 })
 
 var _ = Describe("Members and leases", func() {
+	// Guards against a member that renews in an old epoch and never hears of
+	// the new one, because the answer leaves out what others know already.
+	It("answer with the members whoever does not know the epoch", func() {
+		l := newLog()
+		joined := l.lease(lease.Join, "a", 0)
+		Expect(joined.View.Names()).To(Equal([]string{"a"}))
+		known := l.lease(lease.Renew, "a", 1)
+		Expect(known.Granted).To(BeTrue())
+		Expect(known.View.Epoch).To(Equal(uint64(1)))
+		Expect(known.View.Members).To(BeEmpty())
+		l.lease(lease.Join, "b", 0)
+		old := l.lease(lease.Renew, "a", 1)
+		Expect(old.View.Epoch).To(Equal(uint64(2)))
+		Expect(old.View.Names()).To(Equal([]string{"a", "b"}))
+		restarted := l.lease(lease.Join, "b", 0)
+		Expect(restarted.View.Names()).To(Equal([]string{"a", "b"}), "a restarted member knows no epoch")
+	})
+
 	// Guards against members, counts of renewals or hand-overs that are lost
 	// with a snapshot.
 	It("survive a snapshot", func() {
