Send only newer views of members with the system state

Cause: every instance fetches the state after each change, and each reply carried the members of all data centres, changed or not. With 14 data centres of 20 instances and 300 tenants that is 8,638 bytes for a change of one tenant, at 0.94 changes a second and up to 279 peers that ask the leader.

Ruled out: views left out when the sum of epochs is equal.

The request names the epochs that the instance knows. The follower takes configuration and views one by one if they are newer; both only grow along one log, so that the newest parts of two states make up the later one.

Before: request 5 bytes, reply 8,638. After: request 285, reply 182 (proto.Size of the messages, scratch test with the sizes above).

The keeper's test of random changes now compares the views themselves, not only their number; it and the integration tests with real processes pass.

--- a/server/control/keeper.go
+++ b/server/control/keeper.go
@@ -52,7 +52,15 @@
 // request returns what to ask a peer for.
 func (k *keeper) request() *wire.StateRequest {
 	state := k.current()
-	return &wire.StateRequest{StateVersion: state.Version(), ConfigVersion: state.Config.Version}
+	request := &wire.StateRequest{
+		StateVersion:  state.Version(),
+		ConfigVersion: state.Config.Version,
+		Epochs:        make(map[string]uint64, len(state.Views)),
+	}
+	for centre, view := range state.Views {
+		request.Epochs[centre] = view.Epoch
+	}
+	return request
 }
 
 // reply answers a peer with what is newer than the versions it knows.
@@ -62,6 +70,9 @@
 	state := &k.state
 	reply := &wire.StateReply{StateVersion: state.Version(), ConfigVersion: state.Config.Version}
 	for centre, view := range state.Views {
+		if view.Epoch <= request.GetEpochs()[centre] {
+			continue
+		}
 		encoded, err := proto.Marshal(sysstate.ViewToProto(&view))
 		if err != nil {
 			return nil, errors.Annotate(err, "encode view")
@@ -122,18 +133,25 @@
 	return removed
 }
 
-// merge returns the state that a reply leads to.
+// merge returns the state that a reply leads to. Configuration and views are
+// taken one by one, if they are newer: all states are prefixes of one log, so
+// that the newest parts of two states make up the later one.
 func (k *keeper) merge(reply *wire.StateReply) (State, error) {
 	state := k.current()
-	state.Views = make(map[string]lease.View)
+	state.Views = maps.Clone(state.Views)
+	if state.Views == nil {
+		state.Views = make(map[string]lease.View)
+	}
 	for _, view := range reply.GetViews() {
 		decoded := &sysstate.LeaseView{}
 		if err := proto.Unmarshal(view.GetView(), decoded); err != nil {
 			return state, errors.Annotate(err, "decode view")
 		}
-		state.Views[view.GetDataCentre()] = sysstate.ViewFromProto(decoded)
+		if decoded.GetEpoch() > state.Views[view.GetDataCentre()].Epoch {
+			state.Views[view.GetDataCentre()] = sysstate.ViewFromProto(decoded)
+		}
 	}
-	if reply.GetConfig() == nil {
+	if reply.GetConfig() == nil || reply.GetConfigVersion() <= state.Config.Version {
 		return state, nil
 	}
 	config, err := mergeConfig(&state.Config, reply)
--- a/server/control/keeper_test.go
+++ b/server/control/keeper_test.go
@@ -78,7 +78,7 @@
 			Expect(current.Version()).To(Equal(state.Version()))
 			Expect(current.Config.Tenants).To(Equal(state.Config.Tenants))
 			Expect(current.Config.Version).To(Equal(state.Config.Version))
-			Expect(current.Views).To(HaveLen(len(state.Views)))
+			Expect(current.Views).To(Equal(state.Views))
 
 			old, err := follower.merge(late[rng.IntN(len(late))])
 			if err == nil {
