--- a/server/control/voter.go
+++ b/server/control/voter.go
@@ -38,11 +38,12 @@
 	// recovered is the index up to which the log was known to be committed
 	// before the start. The state of a snapshot before it is outdated.
 	recovered uint64
+	outgoing  deflater // owned by the node's sender
 }
 
 // Send implements node.Transport.
 func (v *voter) Send(peer string, data []byte) {
-	message := &wire.Envelope{Body: &wire.Envelope_Consensus{Consensus: &wire.ConsensusMessage{Data: data}}}
+	message := &wire.Envelope{Body: &wire.Envelope_Consensus{Consensus: v.outgoing.pack(data)}}
 	_ = v.control.options.Mesh.Send(peer, message) // the log repeats what is lost
 }
 
@@ -64,6 +65,7 @@
 		Name:         v.control.options.Name,
 		Incarnation:  disk.Incarnation(),
 		Peers:        v.control.options.Voters,
+		NeverForm:    disk.Verdict() == storage.Lost || disk.Verdict() == storage.Foreign,
 		Persisted:    persisted,
 		Storage:      disk,
 		Transport:    v,
--- a/server/messages.go
+++ b/server/messages.go
@@ -42,7 +42,7 @@
 			Failed: body.SlotReturn.GetFailed(), RunMS: body.SlotReturn.GetRunMs(),
 		}})
 	case *wire.Envelope_Membership:
-		s.handleMembership(peer, body.Membership)
+		s.handleMembership(body.Membership)
 	case *wire.Envelope_Consensus:
 		s.control.HandleConsensus(peer, body.Consensus)
 	case *wire.Envelope_LeasePromise:
