Keep an instance running when its data disk fails, and hand over leadership

Cause: an error of the data disk ended the whole instance with its jobs; an instance whose log was lost could form an empty group when all others were lost too; a draining leader left the voters without a leader for a timeout; a damaged log kept an instance from starting without a way out. Ruled out: restarting the voter after a disk error (what the disk holds is not known then).

--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -25,6 +25,8 @@
 	Settings string `required:"" type:"existingdir" help:"Folder with the INI files of this instance's settings."`
 	Config   string `required:"" type:"existingdir" help:"Folder with the INI files of the first system configuration."`
 	Check    bool   `help:"Check both folders, report every error and exit."`
+	// SetAsideDamagedLog is an operator's statement that the other voters have the log.
+	SetAsideDamagedLog bool `help:"If the log in the data folder is damaged, move it to a subfolder and get it from the other voters instead of refusing to start."`
 }
 
 func main() {
@@ -58,6 +60,7 @@
 		return err
 	}
 	options.Config = system
+	options.SetAsideDamaged = args.SetAsideDamagedLog
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return errors.Trace(server.New(options).Run(ctx))
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"hawthornshore.example/consensus"
 	"hawthornshore.example/consensus/node"
 	"hawthornshore.example/consensus/sysstate"
 	"hawthornshore.example/operatorapi"
@@ -39,12 +40,15 @@
 
 // Options configure a Control.
 type Options struct {
-	Name          string
-	DataFolder    string   // empty if this instance is not a voter
-	Voters        []string // names of all voters, those nearby first
-	InitialConfig structs.SystemConfig
-	Mesh          Mesh
-	Logger        zerolog.Logger
+	Name       string
+	DataFolder string   // empty if this instance is not a voter
+	Voters     []string // names of all voters, those nearby first
+	// SetAsideDamaged moves a damaged log out of the way instead of refusing to
+	// start.
+	SetAsideDamaged bool
+	InitialConfig   structs.SystemConfig
+	Mesh            Mesh
+	Logger          zerolog.Logger
 	// OnState is called with each newer state, one at a time.
 	OnState func(State)
 }
@@ -187,6 +191,16 @@
 	return c.voter.node.Status(), true
 }
 
+// Resign hands the leadership of the voters to another one, if this instance
+// has it.
+func (c *Control) Resign(ctx context.Context) error {
+	status, ok := c.Status()
+	if !ok || status.Role != consensus.Leader || len(status.Voters) < 2 {
+		return nil
+	}
+	return c.voter.node.TransferLeadership(ctx, "")
+}
+
 // Voter reports whether an instance is meant to be a voter.
 func (c *Control) Voter(instance string) bool { return slices.Contains(c.options.Voters, instance) }
 
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -66,13 +66,18 @@
 	}
 	if c.voter != nil {
 		answer, err := c.proposeHere(ctx, &wire.Proposal{Command: data})
-		if err != nil {
+		if err == nil {
+			return sysstate.DecodeAnswer(answer)
+		}
+		if !errors.Is(err, node.ErrStopped) {
 			return nil, err
 		}
-		return sysstate.DecodeAnswer(answer)
 	}
 	failures := []error{ErrNoVoter}
 	for _, peer := range c.options.Voters {
+		if peer == c.options.Name {
+			continue
+		}
 		answer, err := c.proposeAt(ctx, peer, &wire.Proposal{Command: data})
 		if err != nil {
 			failures = append(failures, err)
--- a/server/control/voter.go
+++ b/server/control/voter.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return jujuerrors.Annotate(err, "open data folder")
 	}
-	disk, persisted, err := storage.Open(storage.Options{FS: folder, Instance: v.control.options.Name})
+	disk, persisted, err := v.open(folder)
 	if err != nil {
 		return jujuerrors.Annotate(err, "open data folder")
 	}
@@ -77,16 +77,33 @@
 	return jujuerrors.Annotate(err, "start voter")
 }
 
-// run waits for the node's end and closes the disk.
+// open opens the folder. A damaged log is set aside if the operator asked for
+// it; the instance then returns as a learner.
+func (v *voter) open(folder *storage.Folder) (*storage.Disk, consensus.Persisted, error) {
+	options := storage.Options{FS: folder, Instance: v.control.options.Name}
+	disk, persisted, err := storage.Open(options)
+	var damaged *storage.CorruptionError
+	if !v.control.options.SetAsideDamaged || !errors.As(err, &damaged) {
+		return disk, persisted, err
+	}
+	v.control.options.Logger.Warn().Str("event", "data_set_aside").Str("step", "open data folder").Err(err).Send()
+	if err := storage.SetAside(folder); err != nil {
+		return nil, persisted, err
+	}
+	return storage.Open(options)
+}
+
+// run waits for the node's end and closes the disk. A broken disk ends the
+// voter only: the instance goes on with its jobs and reaches the other voters.
 func (v *voter) run() error {
 	err := v.node.Wait()
 	if closeErr := v.disk.Close(); err == nil {
 		err = closeErr
 	}
-	if errors.Is(err, context.Canceled) {
-		return nil
+	if err != nil && !errors.Is(err, context.Canceled) {
+		v.control.options.Logger.Error().Str("event", "voter_stopped").Str("step", "voter").Err(err).Send()
 	}
-	return jujuerrors.Annotate(err, "voter")
+	return nil
 }
 
 // signalApplied has the state published, unless it is one of the recovery: this
--- a/server/options.go
+++ b/server/options.go
@@ -30,6 +30,9 @@
 	// instance is a voter, Config is used as it is, and the owners of job IDs are
 	// fixed by the peers' names.
 	DataFolder string
+	// SetAsideDamaged moves a damaged log in the data folder out of the way; the
+	// instance then gets the log from the other voters.
+	SetAsideDamaged bool
 	// Config is the configuration that is applied if none ever was.
 	Config    structs.SystemConfig
 	ClientTLS *tls.Config
--- a/server/ready_test.go
+++ b/server/ready_test.go
@@ -12,7 +12,7 @@
 
 var _ = Describe("readiness", func() {
 	instance := func(ownership claims.Ownership, held bool) *Server {
-		s := &Server{}
+		s := &Server{stop: newPlannedStop()}
 		s.configVersion.Store(1)
 		s.ownership.Store(&ownership)
 		s.lease.Store(&lease.LeaseChanged{Held: held, Until: time.Now().Add(time.Hour)})
@@ -24,7 +24,7 @@
 	It("does not need a partition, but the lease", func() {
 		Expect(instance(claims.Ownership{}, true).notReady()).To(BeEmpty())
 		Expect(instance(claims.Ownership{}, false).notReady()).NotTo(BeEmpty())
-		Expect((&Server{}).notReady()).NotTo(BeEmpty())
+		Expect((&Server{stop: newPlannedStop()}).notReady()).NotTo(BeEmpty())
 	})
 
 	// Guards against jobs that are sent to an owner that must not admit them.
--- a/server/server.go
+++ b/server/server.go
@@ -71,13 +71,14 @@
 	s.mesh = s.newMesh()
 	s.metrics.watchTraffic(s.mesh.Traffic())
 	s.control = control.New(control.Options{
-		Name:          options.Name,
-		DataFolder:    options.DataFolder,
-		Voters:        options.voters(),
-		InitialConfig: options.Config,
-		Mesh:          s.mesh,
-		Logger:        s.log,
-		OnState:       s.stateChanged,
+		Name:            options.Name,
+		DataFolder:      options.DataFolder,
+		Voters:          options.voters(),
+		SetAsideDamaged: options.SetAsideDamaged,
+		InitialConfig:   options.Config,
+		Mesh:            s.mesh,
+		Logger:          s.log,
+		OnState:         s.stateChanged,
 	})
 	s.http = &http.Server{
 		Handler:           s.routes(),
