--- a/integration/system/suite_test.go
+++ b/integration/system/suite_test.go
@@ -29,3 +29,16 @@
 	SetDefaultEventuallyPollingInterval(20 * time.Millisecond)
 	RunSpecs(t, "system")
 }
+
+// prepared are the fleets that serve jobs. They start together, because an
+// instance waits for a lease duration and the recovery horizon before it serves.
+var prepared struct{ takeover, drain, centres *fleet }
+
+var _ = BeforeSuite(func() {
+	prepared.takeover = jobFleet()
+	prepared.drain = jobFleet()
+	prepared.centres = twoCentres()
+	prepared.centres.start(prepared.centres.names...)
+	prepared.centres.addTarget("north", 8)
+	prepared.centres.addTarget("south", 8)
+})
