--- a/integration/scenario_test.go
+++ b/integration/scenario_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,6 +30,9 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
+			if entry := "TestScenarios/" + strings.TrimPrefix(filepath.Base(env.WorkDir), "script-"); knownRed(t, entry) {
+				env.T().Skip("known red, passed over: " + entry)
+			}
 			ctx, cancel := context.WithTimeout(context.Background(), scenarioLimit)
 			s := &scenario{ctx: ctx, programs: built, jobs: make(map[string]*scenarioJob)}
 			env.Values["scenario"] = s
@@ -53,6 +59,16 @@
 	})
 }
 
+// knownRed tells whether KNOWN-RED.txt lists a script. The skip flag of ginkgo
+// does not reach scripts.
+func knownRed(t *testing.T, entry string) bool {
+	text, err := os.ReadFile("../KNOWN-RED.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slices.Contains(strings.Split(string(text), "\n"), "test: "+entry)
+}
+
 // scenario is the state of one script.
 type scenario struct {
 	ctx       context.Context
