--- a/server/targets.go
+++ b/server/targets.go
@@ -16,13 +16,21 @@
 	return s.mesh.Send(manager, &wire.Envelope{Body: &wire.Envelope_Announcement{Announcement: announcementToWire(a)}})
 }
 
-// reviewTargets gives up the targets that another live instance manages now.
+// reviewTargets gives up the targets that another live instance manages now. It
+// hands over their last announcements, so that their slots are not without a
+// manager until they announce themselves again.
 func (s *Server) reviewTargets() {
 	s.post(input{inspect: func(_ *claims.Core, core *dispatch.Core) {
-		for _, id := range core.ManagedTargets() {
-			if s.directory.manager(id) != s.options.Name {
-				s.postLater(input{dispatch: dispatch.TargetReleased{TargetID: id}})
+		for _, target := range core.Targets() {
+			a := target.Announcement
+			manager := s.directory.manager(a.TargetID)
+			if manager == s.options.Name {
+				continue
 			}
+			if err := s.passAnnouncement(manager, &a); err != nil {
+				s.log.Debug().Str("event", "send_failed").Str("step", "hand over target").Str("peer", manager).Err(err).Send()
+			}
+			s.postLater(input{dispatch: dispatch.TargetReleased{TargetID: a.TargetID}})
 		}
 	}})
 }
