Check that a resumed owner starts nothing that its successor runs

Cause: the frozen owner's spec also passed with both lease checks before a start disabled (dispatch/core.go and server/leases.go): the new owner answers jobs that the old one had admitted without starting them, so nothing could start twice. Ruled out: more queued jobs, which meet the same rule. Before: no job of the spec depended on the lease. After: jobs above the new owner's horizon wait unread at the frozen owner while the new one runs them.

--- a/integration/system/takeover_test.go
+++ b/integration/system/takeover_test.go
@@ -31,8 +31,17 @@
 		Eventually(func() []string { return f.agreed(others[0], home) }, startLimit).Should(ConsistOf(others))
 		l.submitAll(others[1], list)
 		l.served(others[1], home, owner, f.names)
+		f.waitReady(others...) // each new owner has passed its horizon
+		// These wait unread at the frozen owner, and are above the horizon of the
+		// new owner, so that only the lease keeps the frozen one from a second start.
+		twins := jobs(8, owner, f.names, 20)
+		l.submitAll(owner, twins)
+		for _, job := range twins {
+			Expect(l.submit(others[0], job)).To(Equal(structs.OutcomeComplete), describe(job))
+		}
 		f.thaw(owner)
 		f.waitReady(owner)
+		list = append(list, twins...)
 		for _, job := range list {
 			outcomes := l.outcomes()[job.ID]
 			Expect(outcomes).To(HaveLen(2), describe(job))
