List what a change changed against the version it replaced

Cause: the instance that proposes a change described it against the configuration that it knew itself. One that lagged listed the changes of others as well, in the history and in the report of who won a race. Ruled out: waiting at the proposer until it has the expected version; the state machine knows it without a wait. Before: ten changes through n1, s2 and n3 in turn: version 11 was listed as a change of nine tenants. After: the state machine writes the summary when it applies a change; the spec passes, as do the tests of consensus and server. Conclusion: the history names each operator's own changes.

--- a/consensus/sysstate/config.go
+++ b/consensus/sysstate/config.go
@@ -31,10 +31,18 @@
 	if err != nil {
 		return m.refuse(Status_STATUS_BAD_COMMAND, "configuration cannot be encoded")
 	}
+	summary := command.Summary
+	if m.describe != nil {
+		before, err := m.Config()
+		if err != nil {
+			return m.refuse(Status_STATUS_BAD_COMMAND, "configuration in force cannot be decoded")
+		}
+		summary = m.describe(&before, &config)
+	}
 	m.version, m.config = config.Version, encoded
 	change := &Change{
 		Version: m.version, Author: command.Author, UnixMs: ctx.UnixMS,
-		OperationId: operationID, Summary: command.Summary,
+		OperationId: operationID, Summary: summary,
 	}
 	m.history = append(m.history, change)
 	if len(m.history) > MaxHistory {
--- a/consensus/sysstate/machine.go
+++ b/consensus/sysstate/machine.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hawthornshore.example/claims/lease"
+	"hawthornshore.example/structs"
 )
 
 const (
@@ -35,6 +36,8 @@
 	byID       map[string]*Operation
 	centres    map[string]*lease.Agreement // by data centre
 	voters     map[string]string           // member ID by instance
+	// describe writes the summary of a change; nil takes the command's.
+	describe func(before, after *structs.SystemConfig) string
 }
 
 // NewMachine returns a machine with version 0 and an empty configuration.
--- a/consensus/sysstate/snapshot.go
+++ b/consensus/sysstate/snapshot.go
@@ -39,6 +39,7 @@
 		return errors.Annotate(err, "decode system configuration")
 	}
 	restored := NewMachine()
+	restored.describe = m.describe
 	restored.version, restored.config, restored.history = state.Version, state.Config, state.History
 	for _, operation := range state.Operations {
 		restored.remember(operation)
--- a/consensus/sysstate/store.go
+++ b/consensus/sysstate/store.go
@@ -29,6 +29,15 @@
 // NewStore returns a store over an empty machine.
 func NewStore() *Store { return &Store{machine: NewMachine()} }
 
+// Describe sets the function that writes the summary of a change, in place of
+// the one in the command: the proposer may not know the configuration that the
+// change replaces. It has to be deterministic. Describe is called before Apply.
+func (s *Store) Describe(describe func(before, after *structs.SystemConfig) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machine.describe = describe
+}
+
 // Apply carries out the encoded Command of a log entry and returns the encoded
 // Answer.
 func (s *Store) Apply(entry *consensus.Entry) ([]byte, error) {
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -40,14 +40,12 @@
 	if err != nil {
 		return nil, jujuerrors.Annotate(err, "encode configuration")
 	}
-	current := c.State()
 	return c.propose(ctx, &sysstate.Command{
 		OperationId: request.OperationID,
 		Body: &sysstate.Command_ApplyConfig{ApplyConfig: &sysstate.ApplyConfig{
 			BaseVersion: request.ExpectedVersion,
 			Config:      encoded,
 			Author:      request.Operator,
-			Summary:     summaryOf(&current.Config, &config),
 		}},
 	})
 }
--- a/server/control/voter.go
+++ b/server/control/voter.go
@@ -58,6 +58,7 @@
 	}
 	v.disk = disk
 	v.recovered = persisted.Hard.GetCommit()
+	v.store.Describe(summaryOf)
 	v.control.options.Logger.Info().Str("event", "data_folder_opened").
 		Str("verdict", disk.Verdict().String()).Str("disk_incarnation", disk.Incarnation()).Send()
 	v.node, err = node.Start(ctx, node.Options{
@@ -176,9 +177,8 @@
 	v.propose(ctx, &sysstate.Command{
 		OperationId: initialOperation,
 		Body: &sysstate.Command_ApplyConfig{ApplyConfig: &sysstate.ApplyConfig{
-			Config:  config,
-			Author:  v.control.options.Name,
-			Summary: summaryOf(&structs.SystemConfig{}, &v.control.options.InitialConfig),
+			Config: config,
+			Author: v.control.options.Name,
 		}},
 	})
 }
