--- a/consensus/sysstate/snapshot.go
+++ b/consensus/sysstate/snapshot.go
@@ -39,6 +39,7 @@
 		return errors.Annotate(err, "decode system configuration")
 	}
 	restored := NewMachine()
+	restored.describe = m.describe
 	restored.version, restored.config = state.Version, state.Config
 	for _, change := range state.History {
 		restored.record(change)
