Admit jobs for a moment after the last usable target went away

Ruled out: handing the targets over faster only (done before; the owner may be a third instance); heartbeats on every change (many at a time in a large fleet). Before: the new spec fails with a refusal.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -52,6 +52,9 @@
 		return structs.ReasonQueueFull, "the queue of the class is full"
 	}
 	if !c.anyTarget() {
+		if c.awaitsTargets() {
+			return "", ""
+		}
 		return structs.ReasonNoCapacity, "no target is usable"
 	}
 	for i := range j.spec.Tasks {
@@ -68,6 +71,18 @@
 	return "", ""
 }
 
+// noTargetGrace is how long jobs are still admitted after the last target was
+// usable. When a target's slot manager changes, an instance hears of the new
+// manager's targets with its next heartbeat; jobs must not be refused in between.
+const noTargetGrace = 2 * structs.LinkHeartbeatInterval
+
+// awaitsTargets reports whether targets were usable a moment ago. The policies for
+// comparison bind at once and cannot wait.
+func (c *Core) awaitsTargets() bool {
+	recent := c.targetsSeen > 0 && c.now-c.targetsSeen <= noTargetGrace
+	return recent && c.opts.Policy == PolicyHawthorn
+}
+
 // anyTarget reports whether this instance or a peer has a usable target.
 func (c *Core) anyTarget() bool {
 	for _, p := range c.peers {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,8 +22,11 @@
 	house  timer
 	// housekept is the time of the last housekeeping.
 	housekept time.Duration
-	effects   []Effect
-	spare     []Effect // the buffer handed out by the last Ready
+	// targetsSeen is the last housekeeping at which a target was usable, 0 if
+	// there was none.
+	targetsSeen time.Duration
+	effects     []Effect
+	spare       []Effect // the buffer handed out by the last Ready
 
 	config  structs.SystemConfig
 	classes map[string]*class
@@ -155,6 +158,9 @@
 	c.housekept = c.now
 	c.timers.set(&c.house, c.now+housekeepingInterval)
 	c.smoothExchange(interval)
+	if c.anyTarget() {
+		c.targetsSeen = c.now
+	}
 	for _, cl := range c.ranked {
 		if !c.saturated {
 			cl.baseline.learn(cl.usage, cl.running, interval)
--- a/dispatch/outcome_test.go
+++ b/dispatch/outcome_test.go
@@ -147,3 +147,42 @@
 		Expect(pick[dispatch.StartAttempt](effects)).To(BeEmpty())
 	})
 })
+
+var _ = Describe("A job that comes while targets change their manager", func() {
+	// Guards against not-run during a planned stop: the new manager's targets are
+	// known a heartbeat after the old manager gave them up.
+	It("waits for the targets a moment, but not for ones that stay away", func() {
+		start := time.Unix(1_700_000_000, 0)
+		core := dispatch.New(dispatch.Options{Instance: "a", DataCentre: "dc", Seed: 1})
+		now := start
+		step := func(after time.Duration, ev dispatch.Event) []dispatch.Effect {
+			now = now.Add(after)
+			core.Step(now, ev)
+			return core.Ready()
+		}
+		step(0, dispatch.ConfigChanged{Config: structs.SystemConfig{
+			Classes: map[string]structs.Class{"c": {Name: "c"}},
+			Tenants: map[string]structs.Tenant{"t": {Name: "t", Weight: 1}},
+		}})
+		step(0, dispatch.LeaseChanged{Held: true})
+		step(0, dispatch.PeerSlots{Peer: "b", Free: 8, Total: 8, Targets: 1})
+		for range 3 {
+			step(200*time.Millisecond, dispatch.Tick{})
+		}
+		step(0, dispatch.PeerSlots{Peer: "b"})
+		submit := func(low uint64) dispatch.Effect {
+			effects := step(structs.LinkHeartbeatInterval, dispatch.AdmitJob{Job: structs.Job{
+				ID: structs.JobIDAt(now, low), DataCentre: "dc", Tenant: "t", Class: "c",
+				DeadlineUnixMS: now.Add(10 * time.Second).UnixMilli(), Tasks: []structs.Task{{DeclaredMS: 100}},
+			}})
+			Expect(effects).To(HaveLen(1))
+			return effects[0]
+		}
+		Expect(submit(1)).To(BeAssignableToTypeOf(dispatch.JobAdmitted{}))
+		step(structs.LinkHeartbeatInterval, dispatch.Tick{})
+		refused, ok := submit(2).(dispatch.JobFinished)
+		Expect(ok).To(BeTrue())
+		Expect(refused.Answer.Outcome).To(Equal(structs.OutcomeNotRun))
+		Expect(refused.Answer.Reason).To(Equal(structs.ReasonNoCapacity))
+	})
+})
