--- a/claims/handover.go
+++ b/claims/handover.go
@@ -60,7 +60,7 @@
 	}
 	if c.leaving == nil {
 		c.leaving = &leaving{token: c.handOverToken(), waiting: make(map[string]bool)}
-		for _, peer := range c.heirs() {
+		for _, peer := range c.successors() {
 			c.leaving.waiting[peer] = true
 		}
 		c.sendHandOver()
@@ -82,28 +82,28 @@
 	return xxhash.Sum64(append(b, c.opts.Instance...)) | 1
 }
 
-// heirs returns the owners that the partitions will have without this instance.
-func (c *Core) heirs() []string {
-	heirs := make(map[string]bool)
+// successors returns the owners that the partitions will have without this instance.
+func (c *Core) successors() []string {
+	successors := make(map[string]bool)
 	for i := range c.partitions {
 		if p := &c.partitions[i]; c.mayAct(p) && p.backup != "" {
-			heirs[p.backup] = true
+			successors[p.backup] = true
 		}
 	}
-	return slices.Sorted(maps.Keys(heirs))
+	return slices.Sorted(maps.Keys(successors))
 }
 
-// sendHandOver sends all records to the heirs that have not acknowledged. The
+// sendHandOver sends all records to the successors that have not acknowledged. The
 // summaries follow with the last copies.
 func (c *Core) sendHandOver() {
-	byHeir := make(map[string][]structs.JobID)
+	bySuccessor := make(map[string][]structs.JobID)
 	for _, id := range c.sortedIDs() {
 		if p := c.partitionOf(id); p.owner == c.opts.Instance {
-			byHeir[p.backup] = append(byHeir[p.backup], id)
+			bySuccessor[p.backup] = append(bySuccessor[p.backup], id)
 		}
 	}
 	for _, peer := range slices.Sorted(maps.Keys(c.leaving.waiting)) {
-		c.startTransfer(peer, byHeir[peer])
+		c.startTransfer(peer, bySuccessor[peer])
 		c.queueSeal(peer)
 	}
 }
--- a/claims/handover_test.go
+++ b/claims/handover_test.go
@@ -10,7 +10,7 @@
 	"hawthornshore.example/structs"
 )
 
-// pairBench is an owner "a" and its heir "b", joined by a lossless link.
+// pairBench is an owner "a" and its successor "b", joined by a lossless link.
 type pairBench struct {
 	now  time.Time
 	a, b *claims.Core
--- a/membership/core.go
+++ b/membership/core.go
@@ -25,17 +25,17 @@
 	page    int      // index in order of the members to repeat next
 	urgent  []string // members to probe before the next in order
 
-	probe     *probe
-	sequence  uint64
-	probeAt   time.Time
-	reviveAt  time.Time
-	suspects  []suspicion // in order of time
-	graveyard []burial    // in order of time
-	gossip    gossip
-	clocks    []clockSample
-	skewed    bool
-	synced    bool // a list of all members has arrived
-	effects   []Effect
+	probe        *probe
+	sequence     uint64
+	probeAt      time.Time
+	reviveAt     time.Time
+	suspects     []suspicion  // in order of time
+	recentlyDead []deadMember // in order of time
+	gossip       gossip
+	clocks       []clockSample
+	skewed       bool
+	synced       bool // a list of all members has arrived
+	effects      []Effect
 }
 
 // member is what this instance knows of another one.
@@ -49,7 +49,7 @@
 	since time.Time
 }
 
-type burial struct {
+type deadMember struct {
 	name string
 	at   time.Time
 }
@@ -153,7 +153,7 @@
 		c.emit(MemberUp{Name: m.Name})
 	case !m.live() && wasLive:
 		c.remove(m.Name)
-		c.graveyard = append(c.graveyard, burial{m.Name, c.now})
+		c.recentlyDead = append(c.recentlyDead, deadMember{m.Name, c.now})
 		c.emit(MemberDown{Name: m.Name, Left: m.Status == Gone})
 	}
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -116,11 +116,11 @@
 
 // revive probes one dead member from time to time.
 func (c *Core) revive() {
-	if len(c.graveyard) == 0 || c.now.Before(c.reviveAt) {
+	if len(c.recentlyDead) == 0 || c.now.Before(c.reviveAt) {
 		return
 	}
 	c.reviveAt = c.now.Add(revivalInterval)
-	b := c.graveyard[c.rng.IntN(len(c.graveyard))]
+	b := c.recentlyDead[c.rng.IntN(len(c.recentlyDead))]
 	if m := c.members[b.name]; m != nil && m.Status == Dead {
 		c.send(b.name, Message{Kind: Ping})
 	}
@@ -139,9 +139,9 @@
 }
 
 func (c *Core) forgetDead() {
-	for len(c.graveyard) > 0 && c.now.Sub(c.graveyard[0].at) >= deadRetention {
-		name := c.graveyard[0].name
-		c.graveyard = c.graveyard[1:]
+	for len(c.recentlyDead) > 0 && c.now.Sub(c.recentlyDead[0].at) >= deadRetention {
+		name := c.recentlyDead[0].name
+		c.recentlyDead = c.recentlyDead[1:]
 		if m := c.members[name]; m != nil && !m.live() {
 			delete(c.members, name)
 		}
