--- a/server/jobs.go
+++ b/server/jobs.go
@@ -39,12 +39,9 @@
 func (s *Server) route(ctx context.Context, sub *submission) structs.Answer {
 	owner, ok := s.directory.owner(sub.job.ID, sub.job.DataCentre)
 	if !ok {
-		return structs.Answer{
-			JobID:   sub.job.ID,
-			Outcome: structs.OutcomeNotRun,
-			Reason:  structs.ReasonUnknownHome,
-			Message: fmt.Sprintf("data centre %q is not configured", sub.job.DataCentre),
-		}
+		// Another instance may know the data centre already and have run the job.
+		return unknownAnswer(sub.job.ID, structs.ReasonUnknownHome,
+			fmt.Sprintf("data centre %q is not in the settings of this instance", sub.job.DataCentre))
 	}
 	ctx, cancel := context.WithDeadline(ctx, sub.answerTime)
 	defer cancel()
--- a/structs/errors.go
+++ b/structs/errors.go
@@ -81,8 +81,8 @@
 		return a.unknownStatus()
 	}
 	switch a.Reason {
-	case ReasonMalformed, ReasonBadJobID, ReasonBadTaskCount, ReasonBadField, ReasonUnknownHome,
-		ReasonUnknownTenant, ReasonUnknownClass, ReasonDeadlinePassed, ReasonFutureJobID, ReasonNeverFits:
+	case ReasonMalformed, ReasonBadJobID, ReasonBadTaskCount, ReasonBadField, ReasonUnknownTenant,
+		ReasonUnknownClass, ReasonDeadlinePassed, ReasonFutureJobID, ReasonNeverFits:
 		return http.StatusBadRequest
 	case ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
@@ -100,6 +100,8 @@
 		return http.StatusConflict
 	case ReasonExpiredJobID:
 		return http.StatusGone
+	case ReasonUnknownHome:
+		return http.StatusBadRequest
 	}
 	return http.StatusGatewayTimeout
 }
