Publish no state after a restart before the leader has told the version in force

The check against the recorded commit index did not cover it. Ruled out: voters that do not pull (instances without a disk could still get the older state from a follower after a restart of all); a barrier in the core (the answer to a command at the leader has the version at its place in the log).

--- /dev/null
+++ b/scripts/load.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Sends an open-loop load to real entry instances and emulated targets of one
+# data centre, all started here on loopback addresses, and prints response times
+# over the ideal and the daemons' processor time.
+#
+# usage: scripts/load.sh [WORKLOAD [LOAD [SECONDS]]]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+source scripts/fleet.sh
+trap finish_fleet EXIT
+
+workload=${1:-resin}
+load=${2:-0.8}
+seconds=${3:-20}
+targets=12
+
+instances=("n-1 north $net.1.1 true" "n-2 north $net.1.2 true" "n-3 north $net.1.3 true")
+start_instances scripts/demo-config
+start_targets north "$net.1" "$targets"
+
+flags=()
+addresses=()
+for entry in "${entries[@]}"; do
+  flags+=(--entry "${entry#*=}")
+  addresses+=("${entry#*=}")
+done
+joined=$(IFS=,; echo "${addresses[*]}")
+ready_instances() {
+  { .bin/hawthornctl -a "$joined" --no-header status 2> /dev/null || true; } | awk '$3 == "ready"' | wc -l
+}
+for _ in $(seq 1 100); do
+  if [ "$(ready_instances)" -eq "${#instances[@]}" ]; then break; fi
+  sleep 0.2
+done
+
+.bin/hawthorn-load http "${flags[@]}" --data-centre north --workload "$workload" \
+  --classes lot-check --classes tear-assessment --classes moisture-review \
+  --tenants weighbridge --tenants inspection \
+  --targets "$targets" --load "$load" --duration "${seconds}s"
+for pid in "${daemon_pids[@]}"; do
+  awk '{print "daemon cpu_ticks=" $14+$15}' "/proc/$pid/stat"
+done
--- a/server/control/control.go
+++ b/server/control/control.go
@@ -90,6 +90,7 @@
 		group.Go(c.voter.run)
 		group.Go(func() error { return c.voter.publishLoop(ctx) })
 		group.Go(func() error { return c.voter.watchLoop(ctx) })
+		group.Go(func() error { return c.voter.confirmLoop(ctx) })
 	}
 	return group.Wait()
 }
@@ -106,6 +107,9 @@
 
 // HeardVersion says that a peer knows a state version.
 func (c *Control) HeardVersion(peer string, version uint64) {
+	if c.voter != nil && !c.voter.confirmed.Load() {
+		return // the peer may lag behind what this voter reported before its start
+	}
 	state := c.keeper.current()
 	if version > state.Version() {
 		c.Pull(peer)
--- a/server/control/voter.go
+++ b/server/control/voter.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	jujuerrors "github.com/juju/errors"
@@ -23,6 +24,9 @@
 	watchInterval = 500 * time.Millisecond
 	// expireTimeout bounds the proposal of one takeover.
 	expireTimeout = 2 * time.Second
+	// confirmInterval is the pause before the leader is asked again for the
+	// version in force after a start.
+	confirmInterval = 100 * time.Millisecond
 	// initialOperation is the operation ID of the first configuration, so that
 	// it is applied once whoever proposes it.
 	initialOperation = "initial-configuration"
@@ -35,9 +39,11 @@
 	store   *sysstate.Store
 	node    *node.Node
 	applied chan struct{} // holds one token after entries were applied
-	// recovered is the index up to which the log was known to be committed
-	// before the start. The state of a snapshot before it is outdated.
-	recovered uint64
+	// confirmed says that the leader has told floor, the version of the
+	// configuration in force after the start of this process. Older states are
+	// not published: this or another instance may have reported newer ones.
+	confirmed atomic.Bool
+	floor     atomic.Uint64
 	outgoing  deflater // owned by the node's sender
 }
 
@@ -58,7 +64,6 @@
 		return jujuerrors.Annotate(err, "open data folder")
 	}
 	v.disk = disk
-	v.recovered = persisted.Hard.GetCommit()
 	v.store.Describe(summaryOf)
 	v.control.options.Logger.Info().Str("event", "data_folder_opened").
 		Str("verdict", disk.Verdict().String()).Str("disk_incarnation", disk.Incarnation()).Send()
@@ -71,7 +76,7 @@
 		Storage:      disk,
 		Transport:    v,
 		StateMachine: v.store,
-		OnApplied:    v.signalApplied,
+		OnApplied:    func(node.Applied) { v.signalApplied() },
 		OnStatus:     v.logStatus,
 		OnError:      v.logError,
 	})
@@ -107,18 +112,45 @@
 	return nil
 }
 
-// signalApplied has the state published, unless it is one of the recovery: this
-// instance may have reported newer ones before its restart.
-func (v *voter) signalApplied(applied node.Applied) {
-	if applied.Index < v.recovered {
-		return
-	}
+func (v *voter) signalApplied() {
 	select {
 	case v.applied <- struct{}{}:
 	default:
 	}
 }
 
+// confirmLoop asks the leader for the version in force until it answers. The
+// durable commit index of this voter's own log may be behind it: the leader
+// reports a change before all voters know that it is committed.
+func (v *voter) confirmLoop(ctx context.Context) error {
+	for {
+		version, err := v.versionInForce(ctx)
+		if err == nil {
+			v.floor.Store(version)
+			v.confirmed.Store(true)
+			v.signalApplied()
+			return nil
+		}
+		select {
+		case <-time.After(confirmInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// versionInForce proposes a command, whose answer has the version at its place
+// in the log.
+func (v *voter) versionInForce(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, expireTimeout)
+	defer cancel()
+	answer, err := v.control.propose(ctx, &sysstate.Command{Body: &sysstate.Command_MarkVoter{MarkVoter: &sysstate.MarkVoter{
+		Instance: v.control.options.Name,
+		MemberId: node.MemberID(v.control.options.Name, v.disk.Incarnation()),
+	}}})
+	return answer.GetVersion(), err
+}
+
 func (v *voter) logStatus(status node.Status) {
 	v.control.options.Logger.Info().Str("event", "voter_status").Str("role", status.Role.String()).
 		Uint64("term", status.Term).Str("leader", status.Leader).Send()
@@ -140,7 +172,9 @@
 		if err != nil {
 			return err
 		}
-		v.control.adopt(state)
+		if v.confirmed.Load() && state.Config.Version >= v.floor.Load() {
+			v.control.adopt(state)
+		}
 	}
 }
 
