Count wasted messages by kind and the delay of starts by class

Cause: operators could not see which messages led to no start, or how long tasks wait, without adding up other counters. Ruled out: recording in the decision loop (it would format a metric's name per start there); the attempt's own goroutine records it. Before: only totals.

--- a/server/attempts.go
+++ b/server/attempts.go
@@ -29,6 +29,9 @@
 		s.post(input{dispatch: dispatch.AttemptRefused{Attempt: e.Attempt, Cause: dispatch.RefusedNotSent}})
 		return
 	}
+	if e.Attempt.Number == 1 {
+		s.metrics.taskStarted(e.Class, time.Since(e.Attempt.Job.Time()))
+	}
 	call := targetapi.StartCall{
 		Attempt: e.Attempt,
 		Request: targetapi.StartRequest{
@@ -44,6 +47,9 @@
 		},
 	}
 	result := s.targets.Start(s.lifetime, e.Target, call)
+	if result.Outcome == targetapi.StartRefused {
+		s.metrics.wasted(wastedStart)
+	}
 	if result.Outcome == targetapi.StartSilent {
 		s.metrics.attemptSilent.Inc()
 		s.log.Warn().Str("event", "attempt_silent").Str("attempt_id", e.Attempt.String()).
--- a/server/effects.go
+++ b/server/effects.go
@@ -49,6 +49,7 @@
 		go s.followAttempt(e)
 	case dispatch.ResolveAttempt:
 		s.metrics.resolves.Inc()
+		s.metrics.wasted(wastedLookup)
 		s.attempts.add()
 		go s.resolveAttempt(e)
 	case dispatch.CancelAttempt:
@@ -63,8 +64,14 @@
 			WaitedUs: e.Waited.Microseconds(),
 		}}})
 	case dispatch.GrantSlots:
+		if len(e.Slots) == 0 {
+			s.metrics.wasted(wastedGrant)
+		}
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotGrant{SlotGrant: loansToWire(now, &e)}})
 	case dispatch.ReturnSlot:
+		if e.RunMS == 0 && !e.Failed {
+			s.metrics.wasted(wastedLoan)
+		}
 		s.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_SlotReturn{SlotReturn: &wire.SlotReturn{
 			TargetId: e.TargetID, Class: e.Class, Failed: e.Failed, RunMs: e.RunMS,
 		}}})
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// taskStarted records how long after its job ID's time a task is first started.
+func (m *metrics) taskStarted(class string, delay time.Duration) {
+	class = m.bounded("class", class)
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`hawthorn_start_delay_seconds{class=%q}`, class)).Update(max(delay, 0).Seconds())
+}
+
+// wastedKind says which message led to no start.
+type wastedKind string
+
+const (
+	wastedGrant  wastedKind = "empty_grant"
+	wastedLoan   wastedKind = "unused_loan"
+	wastedStart  wastedKind = "refused_start"
+	wastedLookup wastedKind = "resolve"
+)
+
+// wasted counts a message that led to no start.
+func (m *metrics) wasted(kind wastedKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`hawthorn_wasted_messages_total{kind=%q}`, kind)).Inc()
+}
+
 // longestRun returns the run time of the job's longest task.
 func longestRun(answer *structs.Answer) time.Duration {
 	var longest int64
