--- a/server/control/voter.go
+++ b/server/control/voter.go
@@ -34,11 +34,12 @@
 
 // voter runs this instance's part of the replicated log.
 type voter struct {
-	control *Control
-	disk    *storage.Disk
-	store   *sysstate.Store
-	node    *node.Node
-	applied chan struct{} // holds one token after entries were applied
+	control  *Control
+	disk     *storage.Disk // owned by the node's writer once the node has started
+	memberID string
+	store    *sysstate.Store
+	node     *node.Node
+	applied  chan struct{} // holds one token after entries were applied
 	// confirmed says that the leader has told floor, the version of the
 	// configuration in force after the start of this process. Older states are
 	// not published: this or another instance may have reported newer ones.
@@ -64,6 +65,7 @@
 		return jujuerrors.Annotate(err, "open data folder")
 	}
 	v.disk = disk
+	v.memberID = node.MemberID(v.control.options.Name, disk.Incarnation())
 	v.store.Describe(summaryOf)
 	v.control.options.Logger.Info().Str("event", "data_folder_opened").
 		Str("verdict", disk.Verdict().String()).Str("disk_incarnation", disk.Incarnation()).Send()
@@ -146,7 +148,7 @@
 	defer cancel()
 	answer, err := v.control.propose(ctx, &sysstate.Command{Body: &sysstate.Command_MarkVoter{MarkVoter: &sysstate.MarkVoter{
 		Instance: v.control.options.Name,
-		MemberId: node.MemberID(v.control.options.Name, v.disk.Incarnation()),
+		MemberId: v.memberID,
 	}}})
 	return answer.GetVersion(), err
 }
