Count asked attempts once, and share the wait for readiness between scripts

Cause: hawthorn_resolves_total and hawthorn_wasted_messages_total{kind=resolve} counted the same event, and load.sh waited for ready instances in a loop of its own beside the one of capacity.sh, going on without a word if they never were. Before: two counters and two loops.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -27,22 +27,6 @@
   echo "{${line#, }}" >> "$json"
 }
 
-wait_until() { # seconds command...
-  local end=$((SECONDS + $1))
-  shift
-  until "$@"; do
-    if [ "$SECONDS" -ge "$end" ]; then echo "gave up: $*" >&2; return 1; fi
-    sleep 0.2
-  done
-}
-
-all_ready() {
-  local entry
-  for entry in "${entries[@]}"; do
-    curl -sf -m 2 -o /dev/null "http://${entry#*=}/readyz" || return 1
-  done
-}
-
 # write_config writes tenants with names and values as different as real ones
 # may be, but for three with short names that load is sent for.
 write_config() { # folder tenants weight_of_first_tenant
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -76,3 +76,21 @@
     records+=("$run/$id.starts")
   done
 }
+
+# wait_until fails if the command has not succeeded in time.
+wait_until() { # seconds command...
+  local end=$((SECONDS + $1))
+  shift
+  until "$@"; do
+    if [ "$SECONDS" -ge "$end" ]; then echo "gave up: $*" >&2; return 1; fi
+    sleep 0.2
+  done
+}
+
+# all_ready succeeds once every instance may get jobs.
+all_ready() {
+  local entry
+  for entry in "${entries[@]}"; do
+    curl -sf -m 2 -o /dev/null "http://${entry#*=}/readyz" || return 1
+  done
+}
--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -19,19 +19,8 @@
 start_targets north "$net.1" "$targets"
 
 flags=()
-addresses=()
-for entry in "${entries[@]}"; do
-  flags+=(--entry "${entry#*=}")
-  addresses+=("${entry#*=}")
-done
-joined=$(IFS=,; echo "${addresses[*]}")
-ready_instances() {
-  { .bin/hawthornctl -a "$joined" --no-header status 2> /dev/null || true; } | awk '$3 == "ready"' | wc -l
-}
-for _ in $(seq 1 100); do
-  if [ "$(ready_instances)" -eq "${#instances[@]}" ]; then break; fi
-  sleep 0.2
-done
+for entry in "${entries[@]}"; do flags+=(--entry "${entry#*=}"); done
+wait_until 60 all_ready
 
 .bin/hawthorn-load http "${flags[@]}" --data-centre north --workload "$workload" \
   --classes lot-check --classes tear-assessment --classes moisture-review \
--- a/server/effects.go
+++ b/server/effects.go
@@ -48,7 +48,6 @@
 		s.attempts.add()
 		go s.followAttempt(e)
 	case dispatch.ResolveAttempt:
-		s.metrics.resolves.Inc()
 		s.metrics.wasted(wastedLookup)
 		s.attempts.add()
 		go s.resolveAttempt(e)
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -20,7 +20,6 @@
 type metrics struct {
 	set            *vm.Set
 	starts         *vm.Counter
-	resolves       *vm.Counter
 	attemptSilent  *vm.Counter
 	reportMismatch *vm.Counter
 	answerMismatch *vm.Counter
@@ -40,7 +39,6 @@
 	return &metrics{
 		set:            set,
 		starts:         set.NewCounter("hawthorn_starts_total"),
-		resolves:       set.NewCounter("hawthorn_resolves_total"),
 		attemptSilent:  set.NewCounter("hawthorn_attempts_silent_total"),
 		reportMismatch: set.NewCounter("hawthorn_report_mismatches_total"),
 		answerMismatch: set.NewCounter("hawthorn_answer_mismatches_total"),
