Let coordinators outside the seeds dial the others

Cause: of two coordinators only the one with the smaller name dialled. Ruled out: stale room updates (the status line showed one coordinator without peers). Both ends may dial now; the one with the larger name waits a little.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -107,8 +107,12 @@
 	return group.Wait()
 }
 
+// dialPatience is the pause of the coordinator with the larger name before it
+// dials; the other one may not know it yet.
+const dialPatience = 400 * time.Millisecond
+
 // learn keeps links to further coordinators. Of two, the one with the smaller
-// name dials.
+// name dials first.
 func (c *Coordinator) learn(names []string) {
 	for _, name := range names {
 		c.mu.Lock()
@@ -117,9 +121,14 @@
 			c.directory[name] = ""
 		}
 		c.mu.Unlock()
-		if !known && c.options.Name < name {
-			c.mesh.Dial(wire.Peer{Name: name, Address: net.JoinHostPort(name, strconv.Itoa(c.options.LinkPort))})
+		if known {
+			continue
+		}
+		peer := wire.Peer{Name: name, Address: net.JoinHostPort(name, strconv.Itoa(c.options.LinkPort))}
+		if c.options.Name > name {
+			peer.Patience = dialPatience
 		}
+		c.mesh.Dial(peer)
 	}
 }
 
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -19,6 +19,8 @@
 	// pauseLimit is how long the loop may stand still before it takes the
 	// machine for one that was suspended, and the links for broken ones.
 	pauseLimit = 500 * time.Millisecond
+	// statusInterval is how often the state of the core is logged.
+	statusInterval = time.Second
 )
 
 // placementLoop owns the core and carries its effects out.
@@ -27,6 +29,7 @@
 	core        *placement.Core
 	events      *ring.Ring[placement.Event]
 	lastRoom    time.Duration
+	lastStatus  time.Duration
 	roomDirty   bool
 
 	mu      sync.Mutex // guards what other goroutines read
@@ -101,6 +104,10 @@
 		l.roomDirty, l.lastRoom = false, now
 		l.publishRoom()
 	}
+	if now-l.lastStatus >= statusInterval {
+		l.lastStatus = now
+		l.logStatus()
+	}
 	l.answerWaiters()
 	l.mu.Lock()
 	l.done = l.core.Idle()
@@ -158,6 +165,13 @@
 	event.Int64("age_ms", d.Age.Milliseconds()).Int64("value", d.Value).Send()
 }
 
+func (l *placementLoop) logStatus() {
+	s := l.core.Status()
+	l.coordinator.options.Logger.Info().Str("event", "placement_status").Int("jobs", s.Jobs).Int("queued", s.Queued).
+		Int("targets", s.Targets).Int("usable", s.Usable).Int("runs", s.Runs).Int64("free_millis", s.FreeMillis).
+		Int("peers", s.Peers).Int("peer_rooms", s.PeerRooms).Int64("peer_free_millis", s.PeerFreeMillis).Send()
+}
+
 // awaitOwned returns once the core owns a boot of a target for certain.
 func (l *placementLoop) awaitOwned(ctx context.Context, target string, born int64) error {
 	owned := make(chan struct{})
--- a/placement/core.go
+++ b/placement/core.go
@@ -160,12 +160,33 @@
 // Idle reports whether nothing is left that this coordinator has to see to.
 func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.targets) == 0 }
 
-// Counts returns the number of jobs, owned targets and runs on them.
-func (c *Core) Counts() (jobs, targets, runs int) {
+// Status summarizes a core.
+type Status struct {
+	Jobs, Queued     int
+	Targets, Usable  int
+	Runs             int
+	FreeMillis       int64 // of processor time on usable targets
+	Peers, PeerRooms int
+	PeerFreeMillis   int64
+}
+
+// Status returns a summary of the core.
+func (c *Core) Status() Status {
+	s := Status{Jobs: len(c.jobs), Queued: len(c.queue), Targets: len(c.targets), Peers: len(c.peers)}
 	for _, t := range c.targets {
-		runs += len(t.runs)
+		s.Runs += len(t.runs)
+		if t.usable(c.now) {
+			s.Usable++
+			s.FreeMillis += t.free().CPUMillis
+		}
+	}
+	for _, p := range c.peers {
+		s.PeerRooms += len(p.rooms)
+		for i := range p.rooms {
+			s.PeerFreeMillis += p.rooms[i].Free.CPUMillis
+		}
 	}
-	return len(c.jobs), len(c.targets), runs
+	return s
 }
 
 func (c *Core) tick() {
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -22,6 +22,9 @@
 type Peer struct {
 	Name    string
 	Address string // host:port
+	// Patience is the pause before each attempt to dial. Of two instances that
+	// both dial each other, one needs it, or they replace each other's links.
+	Patience time.Duration
 }
 
 // MeshOptions configures a Mesh.
@@ -168,20 +171,26 @@
 	return m.serve(ctx, session, flow, "")
 }
 
-// dialLoop keeps a link to one peer.
+// dialLoop keeps a link to one peer. It rests while there is one that the peer
+// has dialled.
 func (m *Mesh) dialLoop(ctx context.Context, peer Peer) error {
 	reported := false
+	pause := peer.Patience
 	for {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		pause = redialInterval + peer.Patience
+		if m.Linked(peer.Name) {
+			continue
+		}
 		err := m.dialOnce(ctx, peer)
 		if err != nil && !reported && ctx.Err() == nil {
 			m.options.Handler.LinkRefused(peer.Address, fmt.Errorf("dial %s: %w", peer.Name, err))
 		}
 		reported = err != nil
-		select {
-		case <-time.After(redialInterval):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
 	}
 }
 
