--- /dev/null
+++ b/emulator/runner.go
@@ -0,0 +1,212 @@
+package emulator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"hawthornshore.example/placement"
+)
+
+// Runner emulates a target that is called by coordinators: it runs tasks under
+// one lease, keeps the highest fencing token, lists runs and ends, and does not
+// guard its capacity. It has no clock of its own; callers pass the time, which
+// must not go back. A Runner is owned by one goroutine.
+type Runner struct {
+	Description placement.Description
+	options     RunnerOptions
+	token       uint64
+	lease       time.Duration // end of the lease
+	runs        map[runnerKey]*runnerRun
+	ended       []placement.EndedEntry
+	ends        uint64         // number of the last end
+	highest     map[string]int // highest run of a task that ended or was stopped here
+	violations  []string
+}
+
+// RunnerOptions configure a Runner.
+type RunnerOptions struct {
+	Lease    time.Duration // longest one that is granted
+	StopTime time.Duration // between a stop and the end
+	// Work returns how long a run takes, and whether it then fails.
+	Work func(task string, run int) (time.Duration, bool)
+	// Need returns what a task takes of the capacity.
+	Need func(task string) placement.Resources
+}
+
+type runnerKey struct {
+	task string
+	run  int
+}
+
+type runnerRun struct {
+	began time.Duration
+	ends  time.Duration
+	kind  placement.EndKind // at ends
+}
+
+// NewRunner returns a runner without runs.
+func NewRunner(description placement.Description, options RunnerOptions) *Runner {
+	return &Runner{
+		Description: description, options: options,
+		runs: map[runnerKey]*runnerRun{}, highest: map[string]int{},
+	}
+}
+
+// Violations returns the broken promises towards the runner so far.
+func (r *Runner) Violations() []string { return r.violations }
+
+// Advance ends what has ended by now.
+func (r *Runner) Advance(now time.Duration) {
+	for _, key := range r.keys() {
+		run := r.runs[key]
+		switch {
+		case r.lease < now && r.lease < run.ends:
+			r.end(key, placement.EndLapsed)
+		case run.ends <= now:
+			r.end(key, run.kind)
+		}
+	}
+}
+
+// NextEnd returns when the next run ends; false if nothing runs.
+func (r *Runner) NextEnd() (time.Duration, bool) {
+	if len(r.runs) == 0 {
+		return 0, false
+	}
+	next := r.lease + 1
+	for _, run := range r.runs {
+		next = min(next, run.ends)
+	}
+	return next, true
+}
+
+// Runs returns the tasks that run.
+func (r *Runner) Runs() []string {
+	var tasks []string
+	for _, key := range r.keys() {
+		tasks = append(tasks, key.task)
+	}
+	return tasks
+}
+
+// HasEnds reports whether there are ends above a number.
+func (r *Runner) HasEnds(seen uint64) bool { return r.ends > seen }
+
+func (r *Runner) keys() []runnerKey {
+	keys := make([]runnerKey, 0, len(r.runs))
+	for key := range r.runs {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b runnerKey) int {
+		if a.task < b.task || a.task == b.task && a.run < b.run {
+			return -1
+		}
+		return 1
+	})
+	return keys
+}
+
+func (r *Runner) end(key runnerKey, kind placement.EndKind) {
+	delete(r.runs, key)
+	r.ends++
+	r.highest[key.task] = max(r.highest[key.task], key.run)
+	r.ended = append(r.ended, placement.EndedEntry{Number: r.ends, Task: key.task, Run: key.run, Kind: kind})
+}
+
+// admit checks the fencing token of an order.
+func (r *Runner) admit(token uint64) bool {
+	if token < r.token {
+		return false
+	}
+	r.token = token
+	return true
+}
+
+func (r *Runner) clockMS(now time.Duration) int64 { return now.Milliseconds() }
+
+func (r *Runner) answer(now time.Duration, order uint64, result placement.Result) placement.Answered {
+	return placement.Answered{Order: order, Result: result, ClockMS: r.clockMS(now), Born: r.Description.Born}
+}
+
+func (r *Runner) extend(now time.Duration, expiresMS int64) {
+	expires := min(time.Duration(expiresMS)*time.Millisecond, now+r.options.Lease)
+	r.lease = max(r.lease, expires)
+}
+
+// Start carries a start out.
+func (r *Runner) Start(now time.Duration, o *placement.StartOrder) placement.Answered {
+	r.Advance(now)
+	key := runnerKey{o.Task, o.Run}
+	switch {
+	case !r.admit(o.Token):
+		return r.answer(now, o.Order, placement.Fenced)
+	case time.Duration(o.ExpiresMS)*time.Millisecond <= now:
+		return r.answer(now, o.Order, placement.Late)
+	}
+	r.extend(now, o.ExpiresMS)
+	if r.runs[key] != nil {
+		return r.answer(now, o.Order, placement.OK)
+	}
+	if o.Run <= r.highest[o.Task] {
+		return r.answer(now, o.Order, placement.Stale)
+	}
+	r.checkRoom(o.Task)
+	work, fails := r.options.Work(o.Task, o.Run)
+	run := &runnerRun{began: now, ends: now + work}
+	if fails {
+		run.kind = placement.EndFailed
+	}
+	r.runs[key] = run
+	return r.answer(now, o.Order, placement.OK)
+}
+
+// checkRoom notes a start that brings the runner over its capacity.
+func (r *Runner) checkRoom(task string) {
+	used := r.options.Need(task)
+	for key := range r.runs {
+		used = used.Add(r.options.Need(key.task))
+	}
+	if !used.Fits(r.Description.Capacity) {
+		r.violations = append(r.violations, fmt.Sprintf("%s: task %s needs room beyond the capacity", r.Description.ID, task))
+	}
+}
+
+// Stop carries a stop out.
+func (r *Runner) Stop(now time.Duration, o *placement.StopOrder) placement.Answered {
+	r.Advance(now)
+	if !r.admit(o.Token) {
+		return r.answer(now, o.Order, placement.Fenced)
+	}
+	r.highest[o.Task] = max(r.highest[o.Task], o.Run)
+	if run := r.runs[runnerKey{o.Task, o.Run}]; run != nil && now+r.options.StopTime < run.ends {
+		run.ends, run.kind = now+r.options.StopTime, placement.EndStopped
+	}
+	return r.answer(now, o.Order, placement.OK)
+}
+
+// Look carries a look out, without its wait.
+func (r *Runner) Look(now time.Duration, o *placement.LookOrder) placement.Answered {
+	r.Advance(now)
+	if !r.admit(o.Token) {
+		return r.answer(now, o.Order, placement.Fenced)
+	}
+	if o.ExpiresMS > 0 {
+		r.extend(now, o.ExpiresMS)
+	}
+	r.ended = slices.DeleteFunc(r.ended, func(e placement.EndedEntry) bool { return e.Number <= o.Seen })
+	answer := r.answer(now, o.Order, placement.OK)
+	for _, key := range r.keys() {
+		answer.Running = append(answer.Running, placement.RunningEntry{Task: key.task, Run: key.run})
+	}
+	answer.Ended = slices.Clone(r.ended)
+	return answer
+}
+
+// Restart is the start of a new boot under the same ID: nothing runs, and
+// nothing is known of before.
+func (r *Runner) Restart(born int64) {
+	r.Description.Born, r.Description.Sequence = born, 0
+	r.token, r.lease, r.ends, r.ended = 0, 0, 0, nil
+	r.runs, r.highest = map[runnerKey]*runnerRun{}, map[string]int{}
+}
--- /dev/null
+++ b/placement/schedules_test.go
@@ -0,0 +1,122 @@
+package placement_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+// schedules is the number of random schedules of each kind; PLACEMENT_SCHEDULES
+// and PLACEMENT_SEED play others.
+func schedules() (first, count uint64) {
+	number := func(name string, fallback uint64) uint64 {
+		value, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+		if err != nil {
+			return fallback
+		}
+		return value
+	}
+	return number("PLACEMENT_SEED", 1), number("PLACEMENT_SCHEDULES", 3)
+}
+
+// play runs a schedule for some seconds with load and then until all has ended.
+func play(w *world, perSecond int, disturb func(*world)) {
+	end := w.now + 12*time.Second
+	w.load(perSecond, end)
+	w.after(2*time.Second, func() { disturb(w) })
+	w.run(end + 25*time.Second)
+}
+
+func expectPromises(w *world, seed uint64) {
+	ExpectWithOffset(1, w.broken).To(BeEmpty(), "seed %d", seed)
+	for i, c := range w.cores {
+		status := c.core.Status()
+		ExpectWithOffset(1, status.Jobs).To(BeZero(), "seed %d: coordinator %d keeps jobs", seed, i)
+		ExpectWithOffset(1, status.Runs).To(BeZero(), "seed %d: coordinator %d keeps runs", seed, i)
+	}
+	ExpectWithOffset(1, w.open).To(BeEmpty(), "seed %d: jobs without an answer", seed)
+}
+
+var _ = Describe("random schedules", func() {
+	// Each guards against targets over their capacity, tasks that run twice at
+	// the same time, second answers, and jobs or runs that are never let go of.
+	entries := map[string]struct {
+		perSecond int
+		failing   float64
+		lost      float64
+		disturb   func(*world)
+	}{
+		"calm":         {perSecond: 40, disturb: func(*world) {}},
+		"overload":     {perSecond: 140, disturb: func(*world) {}},
+		"failing runs": {perSecond: 40, failing: 0.1, disturb: func(*world) {}},
+		"orders without an answer": {perSecond: 40, disturb: func(w *world) {
+			w.lost = 0.06
+			w.after(6*time.Second, func() { w.lost = 0 })
+		}},
+		"targets cut off": {perSecond: 40, disturb: func(w *world) {
+			for i := range 4 {
+				t := w.targets[w.random.IntN(len(w.targets))]
+				w.after(time.Duration(i)*700*time.Millisecond, func() { t.cut = true })
+				w.after(time.Duration(2500+w.random.IntN(3000))*time.Millisecond, func() { t.cut = false })
+			}
+		}},
+		"targets restarted": {perSecond: 40, disturb: func(w *world) {
+			for i := range 6 {
+				t := w.targets[w.random.IntN(len(w.targets))]
+				w.after(time.Duration(i)*900*time.Millisecond, func() {
+					t.runner.Restart(w.now.Milliseconds())
+					w.reportNow(t)
+				})
+			}
+		}},
+		"a coordinator killed twice": {perSecond: 40, disturb: func(w *world) {
+			c := w.cores[w.random.IntN(len(w.cores))]
+			w.kill(c, time.Duration(300+w.random.IntN(3000))*time.Millisecond)
+			w.after(6*time.Second, func() { w.kill(c, time.Second) })
+		}},
+		"coordinators paused": {perSecond: 40, disturb: func(w *world) {
+			for i := range 3 {
+				c := w.cores[w.random.IntN(len(w.cores))]
+				length := time.Duration(100+w.random.IntN(3500)) * time.Millisecond
+				w.after(time.Duration(i)*3*time.Second, func() { w.pause(c, length) })
+			}
+		}},
+		"links between coordinators lost": {perSecond: 60, disturb: func(w *world) {
+			a, b := w.cores[0], w.cores[1+w.random.IntN(len(w.cores)-1)]
+			w.lose(a, b)
+			w.after(3*time.Second, func() { w.join(a, b) })
+		}},
+		"everything at once": {perSecond: 80, failing: 0.02, disturb: func(w *world) {
+			w.lost = 0.05
+			w.after(5*time.Second, func() { w.lost = 0 })
+			w.pause(w.cores[0], time.Duration(200+w.random.IntN(2500))*time.Millisecond)
+			w.after(time.Second, func() { w.kill(w.cores[1], 2*time.Second) })
+			t := w.targets[w.random.IntN(len(w.targets))]
+			w.after(1500*time.Millisecond, func() { t.cut = true })
+			w.after(4*time.Second, func() { t.cut = false })
+		}},
+	}
+	for name, entry := range entries {
+		It(name, func() {
+			first, count := schedules()
+			served := 0
+			for seed := first; seed < first+count; seed++ {
+				w := newWorld(seed, 3, 12)
+				w.failing, w.lost = entry.failing, entry.lost
+				play(w, entry.perSecond, entry.disturb)
+				expectPromises(w, seed)
+				served += w.done
+			}
+			Expect(served).To(BeNumerically(">", int(count)*200), "jobs served")
+		})
+	}
+})
