Remember owned targets on disk and redial links sooner

Cause: a restarted coordinator had no targets until their next heartbeat (1.5 s apart), and a gateway's attempt to dial a dark machine took 0.7 s.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -22,6 +22,9 @@
 	// have to notice it within less than that.
 	linkHeartbeat = 150 * time.Millisecond
 	linkTimeout   = 700 * time.Millisecond
+	// linkDialTimeout bounds one attempt to connect, far above a round trip, so
+	// that a machine that has just come back is found soon.
+	linkDialTimeout = 200 * time.Millisecond
 	// eventRingSize is the number of events that may wait for the core.
 	eventRingSize = 8192
 )
@@ -51,6 +54,7 @@
 	mesh    *wire.Mesh
 	voter   *voter
 	loop    *placementLoop
+	memory  *targetMemory
 
 	mu        sync.Mutex
 	document  Document
@@ -79,6 +83,7 @@
 	}
 	c.voter = &voter{coordinator: c, store: &documentStore{}, applied: make(chan struct{}, 1)}
 	c.loop = newPlacementLoop(c)
+	c.memory = newTargetMemory(options.DataFolder, options.Logger)
 	c.mesh = wire.NewMesh(wire.MeshOptions{
 		Self: &wire.Hello{
 			Instance: options.Name, DataCentre: options.DataCentre, Voter: true,
@@ -89,6 +94,7 @@
 		AcceptUnknown:     true,
 		HeartbeatInterval: linkHeartbeat,
 		Timeout:           linkTimeout,
+		DialTimeout:       linkDialTimeout,
 	})
 	return c
 }
@@ -100,6 +106,10 @@
 		return err
 	}
 	c.learn(c.options.Seeds)
+	if known := c.memory.recall(); len(known) > 0 {
+		c.loop.push(placement.Remembered{Targets: known})
+	}
+	group.Go(func() error { return c.memory.run(ctx) })
 	group.Go(func() error { return c.mesh.Run(ctx) })
 	group.Go(func() error { return c.loop.run(ctx) })
 	group.Go(c.voter.run)
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -84,6 +84,7 @@
 		Handler:           g,
 		HeartbeatInterval: linkHeartbeat,
 		Timeout:           linkTimeout,
+		DialTimeout:       linkDialTimeout,
 	})
 	return g
 }
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -107,6 +107,7 @@
 	if now-l.lastStatus >= statusInterval {
 		l.lastStatus = now
 		l.logStatus()
+		l.coordinator.memory.remember(l.core.Owned())
 	}
 	l.answerWaiters()
 	l.mu.Lock()
--- a/placement/core.go
+++ b/placement/core.go
@@ -36,6 +36,9 @@
 	placed  map[uint64]*task // tasks with a placement, by ref
 	lastRef uint64
 
+	remembered []Description
+	recallAt   time.Duration
+
 	peers   map[string]*peer
 	reports map[string][]Report // by peer, until the next Ready
 	leaving bool
@@ -99,6 +102,8 @@
 		c.placementsReported(e)
 	case HandedOver:
 		c.handedOver(e)
+	case Remembered:
+		c.remembered, c.recallAt = e.Targets, now+recallDelay
 	case Interrupted:
 		c.interrupted()
 	case Yield:
@@ -124,6 +129,17 @@
 	return effects
 }
 
+// Owned returns the targets that are owned here and do not leave.
+func (c *Core) Owned() []Description {
+	owned := make([]Description, 0, len(c.targets))
+	for _, id := range sortedKeys(c.targets) {
+		if t := c.targets[id]; t.owned && !t.Draining {
+			owned = append(owned, t.Description)
+		}
+	}
+	return owned
+}
+
 func (c *Core) emit(effect Effect) { c.effects = append(c.effects, effect) }
 
 func (c *Core) decide(d Decided) { c.emit(d) }
@@ -196,6 +212,9 @@
 			c.dropTarget(t, "no heartbeat", 0)
 		}
 	}
+	if len(c.remembered) > 0 && c.now >= c.recallAt {
+		c.recall()
+	}
 	c.expireQueue()
 	c.scheduleDue = true
 	if c.leaving {
--- a/placement/events.go
+++ b/placement/events.go
@@ -85,6 +85,10 @@
 	Reason  string
 }
 
+// Remembered names targets that an earlier process of this coordinator owned.
+// They are taken over soon unless they report elsewhere.
+type Remembered struct{ Targets []Description }
+
 // Interrupted says that this process stood still for so long that gateways may
 // have taken its jobs for lost.
 type Interrupted struct{}
--- a/placement/options.go
+++ b/placement/options.go
@@ -50,6 +50,9 @@
 	unwellTime = 500 * time.Millisecond
 	// suspectTime is how long a target with one failed run comes last.
 	suspectTime = 2 * time.Second
+	// recallDelay is how long a new process waits for links to the others, which
+	// tell it the targets that they own, before it takes remembered ones over.
+	recallDelay = 300 * time.Millisecond
 	// TickInterval is how often deadlines of waiting jobs are checked.
 	TickInterval = 20 * time.Millisecond
 )
--- a/placement/target.go
+++ b/placement/target.go
@@ -127,6 +127,28 @@
 	c.maintain(t)
 }
 
+// recall takes over the remembered targets that no other coordinator has taken
+// over in the meantime. Their next heartbeat has to come here, or they are
+// dropped again.
+func (c *Core) recall() {
+	elsewhere := map[string]bool{}
+	for _, p := range c.peers {
+		for i := range p.rooms {
+			elsewhere[p.rooms[i].Target] = true
+		}
+	}
+	for _, d := range c.remembered {
+		if elsewhere[d.ID] || c.targets[d.ID] != nil || c.leaving {
+			continue
+		}
+		d.ClockMS = 0
+		t := c.adopt(d)
+		t.reported = c.now
+		c.maintain(t)
+	}
+	c.remembered = nil
+}
+
 // adopt takes a target over. It may hold runs of an earlier owner, so it is
 // looked at before it gets any start.
 func (c *Core) adopt(d Description) *target {
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -39,6 +39,8 @@
 	// structs.LinkTimeout if they are set.
 	HeartbeatInterval time.Duration
 	Timeout           time.Duration
+	// DialTimeout bounds one attempt to connect; Timeout if it is 0.
+	DialTimeout time.Duration
 	// ClientTLS secures dialled links; nil means plain TCP. The listener
 	// brings its own TLS.
 	ClientTLS *tls.Config
@@ -215,7 +217,11 @@
 }
 
 func (m *Mesh) dial(ctx context.Context, peer Peer) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: m.timing.timeout}
+	timeout := m.options.DialTimeout
+	if timeout == 0 {
+		timeout = m.timing.timeout
+	}
+	dialer := &net.Dialer{Timeout: timeout}
 	if m.options.ClientTLS == nil {
 		return dialer.DialContext(ctx, "tcp", peer.Address)
 	}
