Stop runs that stand still and lend suspect targets as a last resort

Cause: on targets whose tasks stand still, jobs waited until they were given up; a target with one failed run was hidden from other coordinators for 2 s. Tried first: jobs that wait as long as their objective can be met instead of a quarter of it.

--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -117,6 +117,7 @@
 		r := &rooms[i]
 		message = append(message, &wire.Room{
 			Target: r.Target, Service: r.Service, Labels: r.Labels, Free: resourcesToWire(r.Free),
+			Suspect: r.Suspect,
 		})
 	}
 	return message
@@ -127,6 +128,7 @@
 	for _, r := range message {
 		rooms = append(rooms, placement.Room{
 			Target: r.GetTarget(), Service: r.GetService(), Labels: r.GetLabels(), Free: resourcesFromWire(r.GetFree()),
+			Suspect: r.GetSuspect(),
 		})
 	}
 	return rooms
--- a/placement/core.go
+++ b/placement/core.go
@@ -155,8 +155,10 @@
 	rooms := make([]Room, 0, len(c.targets))
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
-		if !c.leaving && t.usable(c.now) && !t.health.suspect(c.now) {
-			rooms = append(rooms, Room{Target: id, Service: t.Service, Labels: t.Labels, Free: t.free()})
+		if !c.leaving && t.usable(c.now) {
+			rooms = append(rooms, Room{
+				Target: id, Service: t.Service, Labels: t.Labels, Free: t.free(), Suspect: t.health.suspect(c.now),
+			})
 		}
 	}
 	return rooms
--- a/placement/health.go
+++ b/placement/health.go
@@ -13,6 +13,7 @@
 	until    time.Duration // no starts before
 	probing  bool          // one run at a time until one succeeds
 	pauses   int           // ejections in a row
+	slowAt   time.Duration // time when a run was last seen to be slow
 }
 
 // admits reports whether a target with a number of runs may get another one.
@@ -25,10 +26,20 @@
 
 // suspect reports whether the target should come last.
 func (h *health) suspect(now time.Duration) bool {
-	return h.probing || h.failures > 0 && now-h.failedAt < suspectTime
+	return h.probing || h.failures > 0 && now-h.failedAt < suspectTime || h.slowAt > 0 && now-h.slowAt < suspectTime
 }
 
-func (h *health) succeeded() { *h = health{} }
+// succeeded forgets failures. Slowness is told by the next runs.
+func (h *health) succeeded() { *h = health{slowAt: h.slowAt} }
+
+// stalled takes note of a run that stands still.
+func (h *health) stalled(now time.Duration) {
+	h.pause(now, stallPause)
+	h.probing = true
+}
+
+// slow takes note of a run that takes several times as long as expected.
+func (h *health) slow(now time.Duration) { h.slowAt = now }
 
 // failed counts a failed run and reports whether the target is ejected for it.
 func (h *health) failed(now time.Duration, task string) bool {
--- a/placement/home.go
+++ b/placement/home.go
@@ -235,7 +235,7 @@
 	case RunLost:
 		t.notBefore = c.now + report.SafeAfter
 		t.avoid = report.Target
-	case RunRejected:
+	case RunRejected, RunStopped:
 		t.avoid = report.Target
 	}
 	switch {
--- a/placement/options.go
+++ b/placement/options.go
@@ -48,6 +48,14 @@
 	maxEjectTime = 8 * time.Second
 	// unwellTime is the pause of a target that says that it does not work now.
 	unwellTime = 500 * time.Millisecond
+	// stallTime is how long a run may stand still before it is stopped and runs
+	// elsewhere; a run that takes longer may stand still for half its expected time.
+	stallTime = 300 * time.Millisecond
+	// stallPause is how long a target gets no starts after a run has stood still.
+	stallPause = time.Second
+	// slowFactor times its expected time makes a run slow. Estimates are off by
+	// a half at most times.
+	slowFactor = 3
 	// suspectTime is how long a target with one failed run comes last.
 	suspectTime = 2 * time.Second
 	// recallDelay is how long a new process waits for links to the others, which
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -197,8 +197,29 @@
 	if r.stranger && !r.stopSent {
 		c.stop(t, r)
 	}
-	r.percent = entry.Percent
 	c.confirm(t, r)
+	c.watchProgress(t, r, entry.Percent)
+}
+
+// watchProgress stops a run that stands still, and puts its target last as long
+// as runs there take several times as long as expected.
+func (c *Core) watchProgress(t *target, r *run, percent int) {
+	if r.movedAt == 0 || percent != r.percent {
+		r.percent, r.movedAt = percent, c.now
+	}
+	if r.stopping || r.expected <= 0 {
+		return
+	}
+	age := c.now - r.seenAt
+	switch {
+	case c.now-r.movedAt >= max(stallTime, r.expected/2):
+		t.health.stalled(c.now)
+		c.decide(Decided{Event: "run_stalled", Task: r.key.task, Target: t.ID, Age: age, Value: int64(percent)})
+		c.stop(t, r)
+		c.roomChanged()
+	case percent > 0 && age*100/time.Duration(percent) > slowFactor*r.expected:
+		t.health.slow(c.now)
+	}
 }
 
 // missing handles a run that the target does not list and whose end it has not
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -149,6 +149,9 @@
 				continue
 			}
 			option := candidate{peer: p, room: room, score: remoteCost + c.score(t, step, room.Target, room.Labels, room.Free)}
+			if room.Suspect {
+				option.score += suspectCost
+			}
 			if !found || option.better(&best) {
 				best, found = option, true
 			}
--- a/placement/target.go
+++ b/placement/target.go
@@ -27,7 +27,8 @@
 	need      Resources
 	expected  time.Duration
 	began     time.Duration
-	percent   int
+	percent   int           // of its work, as the target has said last
+	movedAt   time.Duration // when percent was seen to change
 	confirmed bool          // the target has said that the run is there
 	seenAt    time.Duration // when it was confirmed
 	stopping  bool
--- a/placement/types.go
+++ b/placement/types.go
@@ -108,6 +108,7 @@
 	Service string
 	Labels  []string
 	Free    Resources
+	Suspect bool // comes last: has failed a run or is slow
 }
 
 // Placement is a task that another coordinator is asked to run.
