Answer questions about active jobs, cancel them, and count waiting jobs

GET, DELETE and the count of a queue reached only the gateway that was asked. They go to all linked coordinators now; a cancel is refused while one that may hold the job has no link.

--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -37,6 +38,7 @@
 	deployment *Deployment
 	homes      map[string]*home // linked coordinators
 	known      map[string]bool
+	lost       map[string]time.Time // when the last link to a coordinator failed
 	pending    map[uint64]*pendingJob
 	lastRef    uint64
 	draining   bool
@@ -74,6 +76,7 @@
 		options: options,
 		homes:   map[string]*home{},
 		known:   map[string]bool{},
+		lost:    map[string]time.Time{},
 		pending: map[uint64]*pendingJob{},
 	}
 	g.mesh = wire.NewMesh(wire.MeshOptions{
@@ -189,6 +192,47 @@
 	return answer
 }
 
+// ErrUnsure means that a coordinator that may be the home of a job did not answer.
+var ErrUnsure = errors.New("a coordinator that may hold the job does not answer")
+
+const (
+	// questionTimeout bounds a question about a job.
+	questionTimeout = 800 * time.Millisecond
+	// unsureTime is how long a coordinator without a link may still hold a job:
+	// its other gateways' callers wait a few seconds at most.
+	unsureTime = 10 * time.Second
+)
+
+// Job looks for an active job at all coordinators, and cancels it if asked to.
+func (g *Gateway) Job(ctx context.Context, id string, cancel bool) (active, started bool, err error) {
+	ctx, stop := context.WithTimeout(ctx, questionTimeout)
+	defer stop()
+	g.mu.Lock()
+	names := slices.Sorted(maps.Keys(g.homes))
+	unsure := false
+	for name, at := range g.lost {
+		unsure = unsure || g.homes[name] == nil && time.Since(at) < unsureTime
+	}
+	g.mu.Unlock()
+	for _, name := range names {
+		reply, err := g.mesh.Call(ctx, name, &wire.Envelope{Body: &wire.Envelope_JobQuestion{
+			JobQuestion: &wire.JobQuestion{JobId: id, Cancel: cancel},
+		}})
+		if err != nil {
+			g.options.Logger.Warn().Str("event", "job_question_failed").Str("job", id).Str("peer", name).Err(err).Send()
+			unsure = true
+			continue
+		}
+		if state := reply.GetJobState(); state.GetActive() {
+			return true, state.GetStarted(), nil
+		}
+	}
+	if unsure && cancel {
+		return false, false, ErrUnsure
+	}
+	return false, false, nil
+}
+
 // choices returns the linked coordinators in the order in which they are tried:
 // those of this data centre, then the others by rendezvous hashing.
 func (g *Gateway) choices() []string {
@@ -328,6 +372,7 @@
 func (g *Gateway) LinkDown(peer string, cause error) {
 	g.mu.Lock()
 	delete(g.homes, peer)
+	g.lost[peer] = time.Now()
 	var lost []*pendingJob
 	for ref, p := range g.pending {
 		if p.home == peer {
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -19,6 +19,9 @@
 	// pauseLimit is how long the loop may stand still before it takes the
 	// machine for one that was suspended, and the links for broken ones.
 	pauseLimit = 500 * time.Millisecond
+	// countsInterval is how often gateways are told how many jobs wait; callers
+	// accept counts that are 2 s old.
+	countsInterval = 500 * time.Millisecond
 	// statusInterval is how often the state of the core is logged.
 	statusInterval = time.Second
 )
@@ -30,11 +33,21 @@
 	events      *ring.Ring[placement.Event]
 	lastRoom    time.Duration
 	lastStatus  time.Duration
+	lastCounts  time.Duration
 	roomDirty   bool
+	counted     bool // gateways know of waiting jobs
 
 	mu      sync.Mutex // guards what other goroutines read
 	done    bool
 	waiters map[chan struct{}]ownedQuestion
+	asked   []jobQuestion
+}
+
+// jobQuestion asks for a job, or to cancel it.
+type jobQuestion struct {
+	id     string
+	cancel bool
+	answer chan *wire.JobState
 }
 
 // ownedQuestion waits until a boot of a target is owned for certain.
@@ -104,12 +117,17 @@
 		l.roomDirty, l.lastRoom = false, now
 		l.publishRoom()
 	}
+	if now-l.lastCounts >= countsInterval {
+		l.lastCounts = now
+		l.publishCounts()
+	}
 	if now-l.lastStatus >= statusInterval {
 		l.lastStatus = now
 		l.logStatus()
 		l.coordinator.memory.remember(l.core.Owned())
 	}
 	l.answerWaiters()
+	l.answerQuestions(ctx, now)
 	l.mu.Lock()
 	l.done = l.core.Idle()
 	l.mu.Unlock()
@@ -142,13 +160,26 @@
 }
 
 func (l *placementLoop) publishRoom() {
-	update := &wire.RoomUpdate{Rooms: roomsToWire(l.core.Rooms()), Waiting: l.core.Waiting()}
+	update := &wire.RoomUpdate{Rooms: roomsToWire(l.core.Rooms())}
 	l.coordinator.mu.Lock()
 	update.Draining = l.coordinator.draining
 	l.coordinator.mu.Unlock()
 	l.coordinator.broadcast(&wire.Envelope{Body: &wire.Envelope_RoomUpdate{RoomUpdate: update}})
 }
 
+// publishCounts tells gateways how many jobs wait, while there are any or were.
+func (l *placementLoop) publishCounts() {
+	waiting := l.core.Waiting()
+	if len(waiting) == 0 && !l.counted {
+		return
+	}
+	l.counted = len(waiting) > 0
+	message := &wire.Envelope{Body: &wire.Envelope_RoomUpdate{RoomUpdate: &wire.RoomUpdate{Waiting: waiting}}}
+	for _, name := range l.coordinator.gateways() {
+		l.coordinator.send(name, message)
+	}
+}
+
 // logDecision writes one line.
 func (l *placementLoop) logDecision(d *placement.Decided) {
 	event := l.coordinator.options.Logger.Info().Str("event", d.Event)
@@ -204,6 +235,38 @@
 	}
 }
 
+// ask asks the core for a job, or to cancel it.
+func (l *placementLoop) ask(ctx context.Context, id string, cancel bool) (*wire.JobState, error) {
+	question := jobQuestion{id: id, cancel: cancel, answer: make(chan *wire.JobState, 1)}
+	l.mu.Lock()
+	l.asked = append(l.asked, question)
+	l.mu.Unlock()
+	l.push(placement.Tick{})
+	select {
+	case state := <-question.answer:
+		return state, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *placementLoop) answerQuestions(ctx context.Context, now time.Duration) {
+	l.mu.Lock()
+	asked := l.asked
+	l.asked = nil
+	l.mu.Unlock()
+	for _, question := range asked {
+		active, started := l.core.Job(question.id)
+		if active && question.cancel {
+			l.core.Step(now, placement.Cancel{JobID: question.id})
+			for _, effect := range l.core.Ready() {
+				l.effect(ctx, effect)
+			}
+		}
+		question.answer <- &wire.JobState{Active: active, Started: started}
+	}
+}
+
 func (l *placementLoop) idle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -78,6 +78,9 @@
 		return &wire.Envelope{Body: &wire.Envelope_DocumentAnswer{
 			DocumentAnswer: &wire.DocumentAnswer{Version: document.Version, Body: document.Body},
 		}}, err
+	case *wire.Envelope_JobQuestion:
+		state, err := c.loop.ask(ctx, body.JobQuestion.GetJobId(), body.JobQuestion.GetCancel())
+		return &wire.Envelope{Body: &wire.Envelope_JobState{JobState: state}}, err
 	case *wire.Envelope_TargetHandOver:
 		return &wire.Envelope{}, c.own(ctx, descriptionFromWire(body.TargetHandOver.GetTarget()))
 	}
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -120,12 +120,17 @@
 }
 
 // peers returns the coordinators with a link.
-func (c *Coordinator) peers() []string {
+func (c *Coordinator) peers() []string { return c.linkedNames(true) }
+
+// gateways returns the gateways with a link.
+func (c *Coordinator) gateways() []string { return c.linkedNames(false) }
+
+func (c *Coordinator) linkedNames(coordinators bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var names []string
 	for name, state := range c.linked {
-		if state.coordinator {
+		if state.coordinator == coordinators {
 			names = append(names, name)
 		}
 	}
--- a/placement/core.go
+++ b/placement/core.go
@@ -80,6 +80,8 @@
 		c.submit(e)
 	case Withdraw:
 		c.withdraw(e.Caller, "caller has left")
+	case Cancel:
+		c.cancel(e.JobID)
 	case GatewayLost:
 		c.gatewayLost(e.Gateway)
 	case Reported:
--- a/placement/events.go
+++ b/placement/events.go
@@ -17,6 +17,9 @@
 // Withdraw says that the caller of a job has left.
 type Withdraw struct{ Caller Caller }
 
+// Cancel ends a job wherever its caller is.
+type Cancel struct{ JobID string }
+
 // GatewayLost says that the link to a gateway has failed, and with it the
 // callers behind it.
 type GatewayLost struct{ Gateway string }
--- a/placement/home.go
+++ b/placement/home.go
@@ -130,6 +130,22 @@
 	c.end(j)
 }
 
+// Job reports whether a job is active here, and whether a task may have started.
+func (c *Core) Job(id string) (active, started bool) {
+	j := c.jobs[id]
+	if j == nil || j.ending {
+		return false, false
+	}
+	return true, j.started
+}
+
+func (c *Core) cancel(id string) {
+	if j := c.jobs[id]; j != nil && !j.ending {
+		c.answer(j, Cancelled, "cancelled", 0)
+		c.end(j)
+	}
+}
+
 func (c *Core) gatewayLost(gateway string) {
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
--- a/placement/types.go
+++ b/placement/types.go
@@ -82,9 +82,10 @@
 	Failed            // a task has used up its attempts
 	NotRun            // no task has started and none will
 	Aborted           // given up; tasks may have run
+	Cancelled
 )
 
-var outcomeNames = [...]string{"completed", "failed", "not-run", "aborted"}
+var outcomeNames = [...]string{"completed", "failed", "not-run", "aborted", "cancelled"}
 
 func (o Outcome) String() string { return outcomeNames[o] }
 
