Log placements and ends that are not successes, and serve metrics

One line for each placement of a job with the targets chosen, and for each run that does not end as done; counters of decisions and orders, histograms of requests by queue and of orders by kind. A one-line break showed that nothing tested the stop of lent runs at a lost link; a spec does now.

--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -64,6 +64,7 @@
 	Outcome    placement.Outcome
 	Reason     string
 	RetryAfter time.Duration // for placement.NotRun
+	Home       string        // coordinator that the job was at last; empty: none
 }
 
 // unreachableRetry is the pause that callers are told while no coordinator is
@@ -169,8 +170,9 @@
 	}
 	begin := time.Now()
 	answer := g.submit(ctx, &request.Job)
+	countAnswer(request.Queue, answer.Outcome, time.Since(begin))
 	g.options.Logger.Info().Str("event", "request_answered").Str("job", request.ID).Str("queue", request.Queue).
-		Str("outcome", answer.Outcome.String()).Str("reason", answer.Reason).
+		Str("outcome", answer.Outcome.String()).Str("home", answer.Home).Str("reason", answer.Reason).
 		Int64("took_ms", time.Since(begin).Milliseconds()).Int64("budget_ms", ms(request.Budget)).Send()
 	return answer
 }
@@ -185,6 +187,7 @@
 	}
 	for _, name := range g.choices() {
 		answer = g.submitTo(ctx, name, job)
+		answer.Home = name
 		if answer.Outcome != placement.NotRun || answer.RetryAfter > time.Millisecond {
 			break
 		}
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -37,6 +37,9 @@
 	roomDirty   bool
 	counted     bool // gateways know of waiting jobs
 
+	starts, stops, looks *orderMetrics
+	gauges               statusGauges
+
 	mu      sync.Mutex // guards what other goroutines read
 	done    bool
 	waiters map[chan struct{}]ownedQuestion
@@ -61,6 +64,10 @@
 		coordinator: c,
 		core:        placement.New(c.options.Placement),
 		events:      newEvents(),
+		starts:      newOrderMetrics(kindStart),
+		stops:       newOrderMetrics(kindStop),
+		looks:       newOrderMetrics(kindLook),
+		gauges:      newStatusGauges(),
 		waiters:     map[chan struct{}]ownedQuestion{},
 	}
 }
@@ -137,11 +144,11 @@
 	c := l.coordinator
 	switch e := effect.(type) {
 	case placement.StartOrder:
-		go func() { l.push(c.options.Targets.Start(ctx, &e)) }()
+		go l.order(l.starts, func() placement.Answered { return c.options.Targets.Start(ctx, &e) })
 	case placement.StopOrder:
-		go func() { l.push(c.options.Targets.Stop(ctx, &e)) }()
+		go l.order(l.stops, func() placement.Answered { return c.options.Targets.Stop(ctx, &e) })
 	case placement.LookOrder:
-		go func() { l.push(c.options.Targets.Look(ctx, &e)) }()
+		go l.order(l.looks, func() placement.Answered { return c.options.Targets.Look(ctx, &e) })
 	case placement.AnswerJob:
 		c.send(e.Caller.Gateway, &wire.Envelope{Body: &wire.Envelope_SubmissionAnswer{SubmissionAnswer: answerToWire(&e)}})
 	case placement.RequestPlacements:
@@ -159,6 +166,14 @@
 	}
 }
 
+// order carries an order out and hands its answer to the core.
+func (l *placementLoop) order(m *orderMetrics, call func() placement.Answered) {
+	began := time.Now()
+	answered := call()
+	m.count(began, &answered)
+	l.push(answered)
+}
+
 func (l *placementLoop) publishRoom() {
 	update := &wire.RoomUpdate{Rooms: roomsToWire(l.core.Rooms())}
 	l.coordinator.mu.Lock()
@@ -182,6 +197,7 @@
 
 // logDecision writes one line.
 func (l *placementLoop) logDecision(d *placement.Decided) {
+	decisionCounter(d.Event).Inc()
 	event := l.coordinator.options.Logger.Info().Str("event", d.Event)
 	for _, field := range [][2]string{
 		{"job", d.Job},
@@ -199,6 +215,7 @@
 
 func (l *placementLoop) logStatus() {
 	s := l.core.Status()
+	l.gauges.set(&s)
 	l.coordinator.options.Logger.Info().Str("event", "placement_status").Int("jobs", s.Jobs).Int("queued", s.Queued).
 		Int("targets", s.Targets).Int("usable", s.Usable).Int("runs", s.Runs).Int64("free_millis", s.FreeMillis).
 		Int("peers", s.Peers).Int("peer_rooms", s.PeerRooms).Int64("peer_free_millis", s.PeerFreeMillis).Send()
--- /dev/null
+++ b/cluster/metrics.go
@@ -0,0 +1,70 @@
+package cluster
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"hawthornshore.example/placement"
+)
+
+// countAnswer counts a caller's answer and how long it took.
+func countAnswer(queue string, outcome placement.Outcome, took time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_requests_total{queue=%q,outcome=%q}`, queue, outcome.String())).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`gateway_request_seconds{queue=%q}`, queue)).Update(took.Seconds())
+}
+
+// orderKinds are the labels of the orders' metrics.
+const (
+	kindStart = "start"
+	kindStop  = "stop"
+	kindLook  = "look"
+)
+
+// orderMetrics are the metrics of one kind of order.
+type orderMetrics struct {
+	seconds *metrics.Histogram
+	results [placement.Refused + 1]*metrics.Counter
+}
+
+func newOrderMetrics(kind string) *orderMetrics {
+	m := &orderMetrics{seconds: metrics.GetOrCreateHistogram(fmt.Sprintf(`target_order_seconds{kind=%q}`, kind))}
+	for result := range m.results {
+		m.results[result] = metrics.GetOrCreateCounter(fmt.Sprintf(
+			`target_orders_total{kind=%q,result=%q}`, kind, placement.Result(result).String()))
+	}
+	return m
+}
+
+func (m *orderMetrics) count(began time.Time, answered *placement.Answered) {
+	m.seconds.Update(time.Since(began).Seconds())
+	m.results[answered.Result].Inc()
+}
+
+// decisionCounter counts decisions by event.
+func decisionCounter(event string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`placement_decisions_total{event=%q}`, event))
+}
+
+// statusGauges publish the newest status of the core.
+type statusGauges struct {
+	jobs, queued, targets, usable, runs, freeMillis *metrics.Gauge
+}
+
+func newStatusGauges() statusGauges {
+	gauge := func(name string) *metrics.Gauge { return metrics.GetOrCreateGauge(name, nil) }
+	return statusGauges{
+		jobs: gauge("placement_jobs"), queued: gauge("placement_queued_jobs"), targets: gauge("placement_targets"),
+		usable: gauge("placement_usable_targets"), runs: gauge("placement_runs"), freeMillis: gauge("placement_free_cpu_millis"),
+	}
+}
+
+func (g *statusGauges) set(s *placement.Status) {
+	g.jobs.Set(float64(s.Jobs))
+	g.queued.Set(float64(s.Queued))
+	g.targets.Set(float64(s.Targets))
+	g.usable.Set(float64(s.Usable))
+	g.runs.Set(float64(s.Runs))
+	g.freeMillis.Set(float64(s.FreeMillis))
+}
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -310,6 +310,20 @@
 		Expect(take[placement.StartOrder](h)).To(BeEmpty())
 	})
 
+	// Guards against lent runs that go on after the link to their home has failed:
+	// the home starts them elsewhere.
+	It("are stopped here when the link to their home is lost", func() {
+		h := newHarness()
+		h.own("t")
+		h.step(0, placement.Requested{Peer: "c1", Placements: []placement.Placement{{
+			Ref: 5, Task: "0000000000000001.0.0.0", Run: 1, Service: "desk", Target: "t",
+			Need: placement.Resources{CPUMillis: 14000},
+		}}})
+		Expect(h.startAll()).To(HaveLen(1))
+		h.step(0, placement.PeerLost{Peer: "c1"})
+		Expect(take[placement.StopOrder](h)).To(ConsistOf(HaveField("Task", "0000000000000001.0.0.0")))
+	})
+
 	// Guards against runs that go on after a cancel.
 	It("are stopped when they are cancelled", func() {
 		h := newHarness()
--- a/placement/home.go
+++ b/placement/home.go
@@ -233,6 +233,12 @@
 		t.state, t.target = running, report.Target
 		return
 	}
+	if report.Kind != RunDone {
+		c.decide(Decided{
+			Event: "run_ended", Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
+			Reason: report.Kind.String() + " " + report.Reason, Age: c.now - j.arrived, Value: int64(t.runs),
+		})
+	}
 	delete(c.placed, report.Ref)
 	j.inFlight--
 	t.state, t.peer, t.avoid = waiting, "", ""
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -67,6 +69,7 @@
 	if j.ending {
 		return
 	}
+	var placed []string
 	for step := range j.tasks {
 		if !j.unlocked(step) {
 			continue
@@ -78,8 +81,24 @@
 			if !c.placeTask(j, t, requests) {
 				break
 			}
+			placed = append(placed, t.place())
 		}
 	}
+	if len(placed) > 0 {
+		c.decide(Decided{
+			Event: "job_placed", Job: j.ID, Reason: strings.Join(placed, " "),
+			Age: c.now - j.arrived, Value: int64(j.left - j.inFlight),
+		})
+	}
+}
+
+// place names where a task has been placed, as index:target or index:target@peer.
+func (t *task) place() string {
+	name := strconv.Itoa(t.step) + "." + strconv.Itoa(t.index) + ":" + t.target
+	if t.peer != "" {
+		name += "@" + t.peer
+	}
+	return name
 }
 
 // unlocked reports whether all steps before a step are done.
--- a/placement/types.go
+++ b/placement/types.go
@@ -141,6 +141,10 @@
 	RunLost    // may run until SafeAfter has passed
 )
 
+var reportNames = [...]string{"rejected", "started", "done", "failed", "stopped", "lost"}
+
+func (k ReportKind) String() string { return reportNames[k] }
+
 // Report says what became of a placement.
 type Report struct {
 	Ref       uint64
