--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -185,7 +185,7 @@
 	if refusing {
 		return Answer{Outcome: placement.NotRun, Reason: "gateway is stopping", RetryAfter: time.Second}
 	}
-	for _, name := range g.choices() {
+	for _, name := range g.awaitChoices(ctx, job.Patience()) {
 		answer = g.submitTo(ctx, name, job)
 		answer.Home = name
 		if answer.Outcome != placement.NotRun || answer.RetryAfter > time.Millisecond {
@@ -236,6 +236,25 @@
 	return false, false, nil
 }
 
+// linkPoll is how often a request that waits for a link looks for one.
+const linkPoll = 10 * time.Millisecond
+
+// awaitChoices returns the linked coordinators, and waits for one for a while.
+func (g *Gateway) awaitChoices(ctx context.Context, limit time.Duration) []string {
+	until := time.Now().Add(limit)
+	for {
+		choices := g.choices()
+		if len(choices) > 0 || !time.Now().Before(until) {
+			return choices
+		}
+		select {
+		case <-time.After(linkPoll):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // choices returns the linked coordinators in the order in which they are tried:
 // those of this data centre, then the others by rendezvous hashing.
 func (g *Gateway) choices() []string {
--- a/placement/home.go
+++ b/placement/home.go
@@ -45,11 +45,6 @@
 
 func (t *task) name() string { return taskName(t.job.ID, t.step, t.index) }
 
-// objective returns by when after its arrival the job should end.
-func (j *job) objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.chain())) + j.Allowance
-}
-
 // submit takes a job. An ID that is active keeps its tasks: the second caller
 // takes the place of the first one, or waits until the runs have ended.
 func (c *Core) submit(e Submit) {
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -238,7 +238,7 @@
 		objective, age := j.objective(), c.now-j.arrived
 		switch {
 		case j.ending:
-		case !j.started && age >= time.Duration(waitShare*float64(objective)):
+		case !j.started && age >= j.Patience():
 			c.answer(j, NotRun, "no room", retryAfter)
 			c.end(j)
 		case j.started && age >= lateFactor*objective:
--- a/placement/types.go
+++ b/placement/types.go
@@ -73,6 +73,14 @@
 	return longest
 }
 
+// objective returns by when after its arrival the job should end.
+func (j *Job) objective() time.Duration {
+	return time.Duration(j.Stretch*float64(j.chain())) + j.Allowance
+}
+
+// Patience returns how long the job may wait for its first start.
+func (j *Job) Patience() time.Duration { return time.Duration(waitShare * float64(j.objective())) }
+
 // Outcome is the answer to a submission.
 type Outcome int
 
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -15,8 +15,14 @@
 	"hawthornshore.example/structs"
 )
 
-// redialInterval is the pause between attempts to dial a peer.
-const redialInterval = 200 * time.Millisecond
+const (
+	// redialInterval is the pause between attempts to dial a peer.
+	redialInterval = 200 * time.Millisecond
+	// slowRedialAfter is the number of failed attempts in a row after which a
+	// peer may be gone for good, and slowRedialInterval the pause from then on.
+	slowRedialAfter    = 40
+	slowRedialInterval = time.Second
+)
 
 // Peer is another instance and the address of its link listener.
 type Peer struct {
@@ -176,7 +182,7 @@
 // dialLoop keeps a link to one peer. It rests while there is one that the peer
 // has dialled.
 func (m *Mesh) dialLoop(ctx context.Context, peer Peer) error {
-	reported := false
+	failures := 0
 	pause := peer.Patience
 	for {
 		select {
@@ -186,13 +192,20 @@
 		}
 		pause = redialInterval + peer.Patience
 		if m.Linked(peer.Name) {
+			failures = 0
 			continue
 		}
 		err := m.dialOnce(ctx, peer)
-		if err != nil && !reported && ctx.Err() == nil {
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if failures == 0 && ctx.Err() == nil {
 			m.options.Handler.LinkRefused(peer.Address, fmt.Errorf("dial %s: %w", peer.Name, err))
 		}
-		reported = err != nil
+		if failures++; failures > slowRedialAfter {
+			pause = slowRedialInterval
+		}
 	}
 }
 
