--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GO_FILES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 MODULES = $(shell sed -n 's/^\t\.\/\(.*\)$$/\1/p' go.work)
 
-.PHONY: build test demo check format generate tidy tools
+.PHONY: build test demo soak check format generate tidy tools
 
 build: ## builds the programs into .bin
 	mkdir -p .bin
@@ -15,6 +15,9 @@
 demo: build ## serves jobs end to end through separate processes
 	scripts/demo.sh
 
+soak: ## random faults against real processes; SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS choose the runs
+	cd integration/deployment && go test -race -count=1 -timeout 2h . -ginkgo.focus soak -ginkgo.v
+
 check: tools ## formatter and linters
 	@unformatted=$$(.bin/gofumpt -l $(GO_FILES)); if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
 	go vet work
--- /dev/null
+++ b/logging/bounded_test.go
@@ -0,0 +1,58 @@
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"hawthornshore.example/logging"
+)
+
+func TestLogging(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logging")
+}
+
+// stuck is a writer that never returns.
+type stuck struct{ entered chan struct{} }
+
+func (s *stuck) Write([]byte) (int, error) {
+	close(s.entered)
+	select {}
+}
+
+var _ = Describe("Bounded", func() {
+	// Guards against a log that grows with the load, and against lines that are
+	// left out without a trace.
+	It("leaves out lines beyond the budget and says how many", func() {
+		var out bytes.Buffer
+		b := logging.NewBounded(&out, 3)
+		log := b.Logger(zerolog.InfoLevel)
+		for i := range 10 {
+			log.Info().Str("event", "e").Int("i", i).Send()
+		}
+		stop := make(chan struct{})
+		close(stop)
+		Expect(b.Run(stop)).To(Succeed())
+		lines := strings.Count(out.String(), "event=e ")
+		Expect(lines).To(And(BeNumerically(">=", 3), BeNumerically("<=", 6)), "a second may begin in between")
+		Expect(out.String()).To(ContainSubstring("event=log_lines_omitted"))
+	})
+
+	// Guards against a process that waits for its log.
+	It("never blocks on its output", func() {
+		out := &stuck{entered: make(chan struct{})}
+		b := logging.NewBounded(out, 1_000_000)
+		log := b.Logger(zerolog.InfoLevel)
+		go func() { _ = b.Run(make(chan struct{})) }()
+		log.Info().Send()
+		<-out.entered
+		for range 10_000 {
+			log.Info().Send()
+		}
+	})
+})
--- a/storage/group_test.go
+++ b/storage/group_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +29,7 @@
 	operation string // ID of the newest accepted change, and its base version
 	base      uint64
 	names     []string
+	seeds     []string // peers of the nodes if others may be admitted; empty: names
 	instances map[string]*instance
 	cut       map[string]bool
 	sent      atomic.Int64 // bytes
@@ -135,10 +137,15 @@
 	Expect(err).NotTo(HaveOccurred())
 	store := sysstate.NewStore()
 	ctx, stop := context.WithCancel(context.Background())
-	n, err := node.Start(ctx, node.Options{
+	options := node.Options{
 		Name: name, Incarnation: disk.Incarnation(), Peers: g.names, Persisted: persisted,
 		Core: g.core, Storage: disk, Transport: link{group: g, from: name}, StateMachine: store,
-	})
+	}
+	if len(g.seeds) > 0 {
+		options.Peers, options.NeverForm = g.seeds, !slices.Contains(g.seeds, name)
+		options.AdmitAny, options.Voters, options.ReplaceAfter = true, len(g.seeds), time.Second
+	}
+	n, err := node.Start(ctx, options)
 	Expect(err).NotTo(HaveOccurred())
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -245,6 +252,42 @@
 	}, time.Minute).Should(Succeed())
 }
 
+var _ = Describe("A group that admits instances", func() {
+	voters := func(g *group) func() []string {
+		return func() []string {
+			_, leader := g.leader()
+			return leader.node.Status().Voters
+		}
+	}
+
+	// Guards against a vote that stays with a machine that is gone for good, so
+	// that the next loss ends the majority, and against more voters than are wanted.
+	It("gives the vote of an instance that stays away to a learner", func() {
+		g := &group{
+			root: GinkgoT().TempDir(), names: []string{"a", "b", "c", "d"}, seeds: []string{"a", "b", "c"},
+			core:      consensus.Options{ElectionTimeout: 300 * time.Millisecond},
+			instances: map[string]*instance{}, cut: map[string]bool{},
+		}
+		DeferCleanup(g.stop)
+		for _, name := range g.names {
+			g.start(name)
+		}
+		Eventually(voters(g), time.Minute).Should(ConsistOf("a", "b", "c"))
+		Expect(g.change("op-1")).To(Equal(uint64(1)))
+		Eventually(func() []string {
+			_, leader := g.leader()
+			return leader.node.Status().Learners
+		}, time.Minute).Should(ConsistOf("d"))
+		g.loseDisk("c")
+		Eventually(voters(g), time.Minute).Should(ConsistOf("a", "b", "d"))
+		Expect(g.change("op-2")).To(Equal(uint64(2)))
+		g.kill("a")
+		Expect(g.change("op-3")).To(Equal(uint64(3)))
+		g.start("c")
+		g.expectVersion(3)
+	})
+})
+
 var _ = Describe("A group of nodes on disks", func() {
 	It("keeps every acknowledged change when all instances restart after 500 changes", func() {
 		g := newGroup("a", "b", "c")
--- a/wire/mesh_test.go
+++ b/wire/mesh_test.go
@@ -175,3 +175,36 @@
 		}, "10s").Should(Succeed())
 	})
 })
+
+var _ = Describe("Dial", func() {
+	run := func(options wire.MeshOptions) *wire.Mesh {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		options.Handler = &recorder{}
+		options.HeartbeatInterval, options.Timeout = 20*time.Millisecond, 2*time.Second
+		mesh := wire.NewMesh(options)
+		go func() { _ = mesh.Run(ctx) }()
+		return mesh
+	}
+
+	// Guards against an instance that the others do not know and that waits to be
+	// dialled by those with smaller names.
+	It("links an instance to one that does not know it, whatever their names", func() {
+		listener := listen()
+		small := run(wire.MeshOptions{Self: &wire.Hello{Instance: "a"}, Listener: listener, AcceptUnknown: true})
+		large := run(wire.MeshOptions{Self: &wire.Hello{Instance: "b"}})
+		large.Dial(wire.Peer{Name: "a", Address: listener.Addr().String()})
+		Eventually(func() bool { return small.Linked("b") && large.Linked("a") }, "10s").Should(BeTrue())
+	})
+
+	// Guards against two instances that replace each other's links for ever.
+	It("settles on one link when both instances dial", func() {
+		listenerA, listenerB := listen(), listen()
+		a := run(wire.MeshOptions{Self: &wire.Hello{Instance: "a"}, Listener: listenerA, AcceptUnknown: true})
+		b := run(wire.MeshOptions{Self: &wire.Hello{Instance: "b"}, Listener: listenerB, AcceptUnknown: true})
+		a.Dial(wire.Peer{Name: "b", Address: listenerB.Addr().String()})
+		b.Dial(wire.Peer{Name: "a", Address: listenerA.Addr().String(), Patience: 300 * time.Millisecond})
+		Eventually(func() bool { return a.Linked("b") && b.Linked("a") }, "10s").Should(BeTrue())
+		Consistently(func() bool { return a.Linked("b") && b.Linked("a") }, "1s").Should(BeTrue())
+	})
+})
