Ask the members that peers have told to be admitted

Cause: an instance that wants to join asked its peers only, and only the leader admits. With a leader outside the peers (a machine that took a vote), a machine that had lost its disk stayed out for ever.

--- a/consensus/node/join.go
+++ b/consensus/node/join.go
@@ -15,6 +15,7 @@
 	due     time.Time
 	started bool              // this instance has a log
 	fresh   map[string]string // member IDs of peers without a log, by name
+	members map[string]bool   // names of members that probed peers have told
 	asked   map[string]string // leader: member IDs that ask to join, by name
 }
 
@@ -38,9 +39,12 @@
 	j.asked = nil
 }
 
-// probe asks all peers for the group.
+// probe asks all peers for the group, and the members that they have told: only
+// the leader admits instances, and it need not be a peer.
 func (j *joiner) probe() {
-	for _, peer := range j.loop.node.options.Peers {
+	names := slices.Concat(j.loop.node.options.Peers, slices.Sorted(maps.Keys(j.members)))
+	slices.Sort(names)
+	for _, peer := range slices.Compact(names) {
 		if peer != j.loop.node.options.Name {
 			j.send(peer, &consensus.Message{Body: &consensus.Message_ProbeRequest{
 				ProbeRequest: &consensus.ProbeRequest{},
@@ -65,12 +69,24 @@
 		if !body.ProbeReply.Started {
 			j.fresh[name] = message.From
 		}
+		j.learnMembers(body.ProbeReply.GetMembers())
 	default:
 		return false
 	}
 	return true
 }
 
+// learnMembers keeps the names of members, if other instances than peers may be
+// members.
+func (j *joiner) learnMembers(members *consensus.Members) {
+	if !j.loop.node.options.AdmitAny {
+		return
+	}
+	for _, id := range slices.Concat(members.GetVoters(), members.GetLearners()) {
+		j.members[NameOf(id)] = true
+	}
+}
+
 func (j *joiner) probed(from string) {
 	members := j.loop.core.Status().Members
 	j.send(from, &consensus.Message{Body: &consensus.Message_ProbeReply{
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -48,7 +48,7 @@
 		outbox:   make(chan *consensus.Message, outboxSize),
 		waiting:  map[consensus.Ref]chan result{},
 	}
-	l.join = joiner{loop: l, fresh: map[string]string{}, started: !n.options.Persisted.Empty()}
+	l.join = joiner{loop: l, fresh: map[string]string{}, members: map[string]bool{}, started: !n.options.Persisted.Empty()}
 	return l
 }
 
