--- a/integration/deployment/suite_test.go
+++ b/integration/deployment/suite_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -30,7 +31,13 @@
 
 var _ = AfterSuite(gexec.CleanupBuildArtifacts)
 
-var networks atomic.Int32 // loopback networks in use
+var networks atomic.Int32 // loopback networks in use by this process
+
+// network returns a loopback network that other test processes hardly use.
+func network() int {
+	const count = 250
+	return (os.Getpid()*7 + int(networks.Add(1))) % count
+}
 
 // start starts a deployment and waits until it serves.
 func start(ctx context.Context, gateways, coordinators, targets int) *deployment.Deployment {
@@ -39,7 +46,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	targetsEnd, stopTargets := context.WithCancel(context.Background())
 	d, err := deployment.Start(targetsEnd, deployment.Options{
-		Folder: GinkgoT().TempDir(), Binary: binary, Network: int(networks.Add(1)),
+		Folder: GinkgoT().TempDir(), Binary: binary, Network: network(),
 		Gateways: gateways, Coordinators: coordinators, Targets: targets,
 	})
 	DeferCleanup(func() {
