--- a/apps/docs_test.go
+++ b/apps/docs_test.go
@@ -37,7 +37,8 @@
 )
 
 // addFile collects the names of one source file: the second argument of
-// Str("event", ...), and string literals that begin like a metric.
+// Str("event", ...), the Event of a decision of the placement core, and string
+// literals that begin like a metric.
 func (n names) addFile(path string) {
 	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 	Expect(err).NotTo(HaveOccurred())
@@ -49,6 +50,8 @@
 			}
 		case *ast.CallExpr:
 			n.addCall(path, node)
+		case *ast.CompositeLit:
+			n.addDecision(path, node)
 		}
 		return true
 	})
@@ -59,11 +62,36 @@
 	if !ok || method.Sel.Name != "Str" || len(call.Args) != 2 || literal(call.Args[0]) != "event" {
 		return
 	}
+	if passed, ok := call.Args[1].(*ast.SelectorExpr); ok && passed.Sel.Name == decisionField {
+		return // collected where the decision is made
+	}
 	event := literal(call.Args[1])
 	Expect(event).NotTo(BeEmpty(), "%s: the name of a log event is not a literal", path)
 	n.events[event] = true
 }
 
+// decisionType and decisionField are where the placement core names an event.
+const (
+	decisionType  = "Decided"
+	decisionField = "Event"
+)
+
+func (n names) addDecision(path string, composite *ast.CompositeLit) {
+	name, ok := composite.Type.(*ast.Ident)
+	if !ok || name.Name != decisionType {
+		return
+	}
+	event := ""
+	for _, element := range composite.Elts {
+		pair, ok := element.(*ast.KeyValueExpr)
+		if ok && pair.Key.(*ast.Ident).Name == decisionField {
+			event = literal(pair.Value)
+		}
+	}
+	Expect(event).NotTo(BeEmpty(), "%s: a decision without a literal event", path)
+	n.events[event] = true
+}
+
 // literal returns the value of a string literal, or "".
 func literal(expression ast.Expr) string {
 	basic, ok := expression.(*ast.BasicLit)
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -11,8 +11,8 @@
 
 // countAnswer counts a caller's answer and how long it took.
 func countAnswer(queue string, outcome placement.Outcome, took time.Duration) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_requests_total{queue=%q,outcome=%q}`, queue, outcome.String())).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`gateway_request_seconds{queue=%q}`, queue)).Update(took.Seconds())
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_gateway_requests_total{queue=%q,outcome=%q}`, queue, outcome.String())).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`hawthorn_gateway_request_seconds{queue=%q}`, queue)).Update(took.Seconds())
 }
 
 // orderKinds are the labels of the orders' metrics.
@@ -29,10 +29,10 @@
 }
 
 func newOrderMetrics(kind string) *orderMetrics {
-	m := &orderMetrics{seconds: metrics.GetOrCreateHistogram(fmt.Sprintf(`target_order_seconds{kind=%q}`, kind))}
+	m := &orderMetrics{seconds: metrics.GetOrCreateHistogram(fmt.Sprintf(`hawthorn_target_order_seconds{kind=%q}`, kind))}
 	for result := range m.results {
 		m.results[result] = metrics.GetOrCreateCounter(fmt.Sprintf(
-			`target_orders_total{kind=%q,result=%q}`, kind, placement.Result(result).String()))
+			`hawthorn_target_orders_total{kind=%q,result=%q}`, kind, placement.Result(result).String()))
 	}
 	return m
 }
@@ -44,7 +44,7 @@
 
 // decisionCounter counts decisions by event.
 func decisionCounter(event string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf(`placement_decisions_total{event=%q}`, event))
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_placement_decisions_total{event=%q}`, event))
 }
 
 // statusGauges publish the newest status of the core.
@@ -55,8 +55,8 @@
 func newStatusGauges() statusGauges {
 	gauge := func(name string) *metrics.Gauge { return metrics.GetOrCreateGauge(name, nil) }
 	return statusGauges{
-		jobs: gauge("placement_jobs"), queued: gauge("placement_queued_jobs"), targets: gauge("placement_targets"),
-		usable: gauge("placement_usable_targets"), runs: gauge("placement_runs"), freeMillis: gauge("placement_free_cpu_millis"),
+		jobs: gauge("hawthorn_placement_jobs"), queued: gauge("hawthorn_placement_queued_jobs"), targets: gauge("hawthorn_placement_targets"),
+		usable: gauge("hawthorn_placement_usable_targets"), runs: gauge("hawthorn_placement_runs"), freeMillis: gauge("hawthorn_placement_free_cpu_millis"),
 	}
 }
 
--- a/cluster/voter.go
+++ b/cluster/voter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	jujuerrors "github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"hawthornshore.example/consensus"
 	"hawthornshore.example/consensus/node"
@@ -59,7 +60,7 @@
 			v.wait(disk)
 			return nil
 		}
-		v.log("voter_not_started", err)
+		v.warn().Str("event", "voter_not_started").Err(err).Send()
 		select {
 		case <-time.After(openRetry):
 		case <-ctx.Done():
@@ -78,7 +79,7 @@
 	disk, persisted, err := storage.Open(storage.Options{FS: folder, Instance: options.Name})
 	var damaged *storage.CorruptionError
 	if errors.As(err, &damaged) {
-		v.log("data_set_aside", err)
+		v.warn().Str("event", "data_set_aside").Err(err).Send()
 		if err := storage.SetAside(folder); err != nil {
 			return nil, jujuerrors.Annotate(err, "set damaged data aside")
 		}
@@ -116,7 +117,7 @@
 				Uint64("term", status.Term).Str("leader", status.Leader).Strs("voters", status.Voters).
 				Strs("learners", status.Learners).Send()
 		},
-		OnError: func(err error) { v.log("voter_error", err) },
+		OnError: func(err error) { v.warn().Str("event", "voter_error").Err(err).Send() },
 	})
 	if err != nil {
 		return nil, jujuerrors.Annotate(err, "start voter")
@@ -125,8 +126,9 @@
 	return disk, nil
 }
 
-func (v *voter) log(event string, err error) {
-	v.coordinator.options.Logger.Warn().Str("event", event).Str("step", "voter").Err(err).Send()
+// warn begins a line about the log.
+func (v *voter) warn() *zerolog.Event {
+	return v.coordinator.options.Logger.Warn().Str("step", "voter")
 }
 
 // wait returns at the node's end and closes the disk.
@@ -136,7 +138,7 @@
 		err = closeErr
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
-		v.log("voter_stopped", err)
+		v.warn().Str("event", "voter_stopped").Err(err).Send()
 	}
 }
 
