--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -82,8 +82,7 @@
 		Voters:     2*max(s.DiskLosses, 1) + 1,
 		MayForm:    s.FirstStart && slices.Contains(s.Seeds, s.IP),
 		Placement: placement.Options{
-			Name: s.IP, DataCentre: s.DataCentre, Lease: s.LongestLease, StopTime: s.StopTime,
-			RemoteFactor: s.RemoteFactor, UnixMS: time.Now().UnixMilli(),
+			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(),
 		},
 		Targets: platform.NewTargetClient(),
 		Logger:  p.logger,
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
@@ -16,18 +15,8 @@
 	"hawthornshore.example/wire"
 )
 
-const (
-	// linkHeartbeat and linkTimeout watch the links. A caller's next attempt
-	// comes a second and more after a broken one, so both ends of a failed link
-	// have to notice it within less than that.
-	linkHeartbeat = 150 * time.Millisecond
-	linkTimeout   = 700 * time.Millisecond
-	// linkDialTimeout bounds one attempt to connect, far above a round trip, so
-	// that a machine that has just come back is found soon.
-	linkDialTimeout = 200 * time.Millisecond
-	// eventRingSize is the number of events that may wait for the core.
-	eventRingSize = 8192
-)
+// eventRingSize is the number of events that may wait for the core.
+const eventRingSize = 8192
 
 // CoordinatorOptions configure a Coordinator.
 type CoordinatorOptions struct {
@@ -84,18 +73,7 @@
 	c.voter = &voter{coordinator: c, store: &documentStore{}, applied: make(chan struct{}, 1)}
 	c.loop = newPlacementLoop(c)
 	c.memory = newTargetMemory(options.DataFolder, options.Logger)
-	c.mesh = wire.NewMesh(wire.MeshOptions{
-		Self: &wire.Hello{
-			Instance: options.Name, DataCentre: options.DataCentre, Voter: true,
-			Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
-		},
-		Listener:          options.Listener,
-		Handler:           c,
-		AcceptUnknown:     true,
-		HeartbeatInterval: linkHeartbeat,
-		Timeout:           linkTimeout,
-		DialTimeout:       linkDialTimeout,
-	})
+	c.mesh = newMesh(&wire.Hello{Instance: options.Name, DataCentre: options.DataCentre, Voter: true}, options.Listener, c)
 	return c
 }
 
@@ -131,7 +109,7 @@
 		if known {
 			continue
 		}
-		peer := wire.Peer{Name: name, Address: net.JoinHostPort(name, strconv.Itoa(c.options.LinkPort))}
+		peer := linkPeer(name, c.options.LinkPort)
 		if c.options.Name > name {
 			peer.Patience = dialPatience
 		}
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -55,7 +53,6 @@
 // pendingJob is a job whose answer is awaited.
 type pendingJob struct {
 	home   string
-	queue  string
 	answer chan Answer
 }
 
@@ -80,16 +77,7 @@
 		lost:    map[string]time.Time{},
 		pending: map[uint64]*pendingJob{},
 	}
-	g.mesh = wire.NewMesh(wire.MeshOptions{
-		Self: &wire.Hello{
-			Instance: options.Name, DataCentre: options.DataCentre,
-			Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
-		},
-		Handler:           g,
-		HeartbeatInterval: linkHeartbeat,
-		Timeout:           linkTimeout,
-		DialTimeout:       linkDialTimeout,
-	})
+	g.mesh = newMesh(&wire.Hello{Instance: options.Name, DataCentre: options.DataCentre}, nil, g)
 	return g
 }
 
@@ -108,7 +96,7 @@
 		g.known[name] = true
 		g.mu.Unlock()
 		if !known {
-			g.mesh.Dial(wire.Peer{Name: name, Address: net.JoinHostPort(name, strconv.Itoa(g.options.LinkPort))})
+			g.mesh.Dial(linkPeer(name, g.options.LinkPort))
 		}
 	}
 }
@@ -286,7 +274,7 @@
 }
 
 func (g *Gateway) submitTo(ctx context.Context, name string, job *placement.Job) Answer {
-	p := &pendingJob{home: name, queue: job.Queue, answer: make(chan Answer, 1)}
+	p := &pendingJob{home: name, answer: make(chan Answer, 1)}
 	g.mu.Lock()
 	g.lastRef++
 	ref := g.lastRef
--- a/placement/options.go
+++ b/placement/options.go
@@ -6,17 +6,10 @@
 type Options struct {
 	// Name is this coordinator's name on the links.
 	Name string
-	// DataCentre is where this coordinator runs.
-	DataCentre string
 	// Lease is the longest lease that a target grants.
 	Lease time.Duration
 	// StopTime is how long a target takes at most to stop a run.
 	StopTime time.Duration
-	// RemoteFactor is how many times as long a task runs away from its data.
-	RemoteFactor float64
-	// LinkTimeout is how long a link between coordinators may be silent before
-	// both ends give it up.
-	LinkTimeout time.Duration
 	// UnixMS is the time of day at the start of the core, the origin of the
 	// fencing tokens.
 	UnixMS int64
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -111,8 +111,7 @@
 
 func (w *world) boot(c *worldCore) {
 	c.core = placement.New(placement.Options{
-		Name: c.name, Lease: worldLease, StopTime: worldStop, RemoteFactor: 1.5,
-		LinkTimeout: worldTimeout, UnixMS: 1_700_000_000_000 + w.now.Milliseconds(),
+		Name: c.name, Lease: worldLease, StopTime: worldStop, UnixMS: 1_700_000_000_000 + w.now.Milliseconds(),
 	})
 	w.tick(c, c.killed)
 }
