--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"hawthornshore.example/emulator"
+	"hawthornshore.example/integration/faultproxy"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/platform/standin"
 )
@@ -32,6 +33,7 @@
 	Gateways     []*Process
 	Coordinators []*Process
 	Targets      []*standin.Target
+	Links        []*faultproxy.Proxy // to the targets, in their order
 	folder       string
 	epoch        time.Time
 	client       *http.Client
@@ -89,7 +91,7 @@
 		target, err := standin.StartTarget(ctx, standin.TargetOptions{
 			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: fmt.Sprintf("dc%d", i%2),
 			Rack: fmt.Sprintf("r%d", i/4), Capacity: placement.Resources{CPUMillis: 32000, MemoryMB: 4096},
-			Control: control, Epoch: d.epoch,
+			Control: control, Epoch: d.epoch, Advertise: d.advertise,
 			Runner: emulator.RunnerOptions{Lease: time.Second, StopTime: 20 * time.Millisecond, Work: work, Need: need},
 		})
 		if err != nil {
@@ -100,6 +102,16 @@
 	return nil
 }
 
+// advertise puts a proxy in front of a target.
+func (d *Deployment) advertise(address string) (string, error) {
+	proxy, err := faultproxy.New(address)
+	if err != nil {
+		return "", err
+	}
+	d.Links = append(d.Links, proxy)
+	return proxy.Address(), nil
+}
+
 // work gives each task a run time between 20 and 320 ms that follows from its name.
 func work(task string, _ int) (time.Duration, bool) {
 	hash := fnv.New32a()
@@ -123,6 +135,9 @@
 			_ = p.Kill() // it may end by itself in between
 		}
 	}
+	for _, proxy := range d.Links {
+		_ = proxy.Close() // its connections end with the processes
+	}
 }
 
 // Logs returns the log lines of all processes that contain a text.
--- a/integration/deployment/soak_test.go
+++ b/integration/deployment/soak_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"hawthornshore.example/integration/deployment"
+	"hawthornshore.example/integration/faultproxy"
 )
 
 // soakSeeds returns the seeds to play and the seconds of load for each. CI plays
@@ -39,7 +40,7 @@
 func (s *soak) disturb() (what string, recover func() error) {
 	process := append(s.d.Coordinators, s.d.Gateways...)[s.random.IntN(len(s.d.Coordinators)+len(s.d.Gateways))]
 	target := s.d.Targets[s.random.IntN(len(s.d.Targets))]
-	switch s.random.IntN(5) {
+	switch s.random.IntN(8) {
 	case 0:
 		Expect(process.Kill()).To(Succeed())
 		return "kill " + process.Machine.IP, process.Start
@@ -52,11 +53,34 @@
 	case 3:
 		target.Silence(true)
 		return "silence a target", func() error { target.Silence(false); return nil }
+	case 4, 5, 6:
+		return s.disturbLink(s.d.Links[s.random.IntN(len(s.d.Links))])
 	default:
 		return "hang up on " + process.Machine.IP, func() error { return process.Signal(syscall.SIGHUP) }
 	}
 }
 
+// disturbLink delays, silences or cuts the connections to a target, one way or
+// both, those that exist or new ones as well.
+func (s *soak) disturbLink(link *faultproxy.Proxy) (what string, recover func() error) {
+	fault := []faultproxy.Fault{
+		{Kind: faultproxy.Delay, Delay: time.Duration(20+s.random.IntN(400)) * time.Millisecond},
+		{Kind: faultproxy.Drop},
+		{Kind: faultproxy.Cut},
+	}[s.random.IntN(3)]
+	scope := []faultproxy.Scope{faultproxy.ExistingOnly, faultproxy.ExistingAndNew}[s.random.IntN(2)]
+	switch direction := s.random.IntN(3); direction {
+	case 2:
+		link.SetBoth(fault, scope)
+	default:
+		link.Set(faultproxy.Direction(direction), fault, scope)
+	}
+	return fmt.Sprintf("link fault %+v, scope %d", fault, scope), func() error {
+		link.SetBoth(faultproxy.Fault{Kind: faultproxy.Forward}, faultproxy.ExistingAndNew)
+		return nil
+	}
+}
+
 // run alternates load and disturbances until the time is over.
 func (s *soak) run(ctx context.Context, length time.Duration) {
 	end := time.Now().Add(length)
@@ -78,7 +102,7 @@
 	first, count, length := soakSeeds()
 	for seed := first; seed < first+count; seed++ {
 		// Guards against broken promises under random series of signals to
-		// processes and silent targets.
+		// processes, silent targets, and faults of the connections to targets.
 		It(fmt.Sprintf("keeps all promises, seed %d", seed), SpecTimeout(length+120*time.Second), func(ctx SpecContext) {
 			s := &soak{d: start(ctx, 2, 3+int(seed%2), 6), random: rand.New(rand.NewPCG(seed, 7)), load: &callers{}}
 			s.run(ctx, length)
