Tell a newly linked coordinator the room on idle targets

Cause: free room is sent when it changes; a coordinator that was linked again heard nothing of targets that stayed idle. Seen while reading the code.

--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -81,9 +81,6 @@
 	}
 }
 
-// changedRoom makes the next update of the free room go out to all.
-func (l *placementLoop) changedRoom() { l.push(placement.Tick{}) }
-
 func (l *placementLoop) run(ctx context.Context) error {
 	ticker := time.NewTicker(placement.TickInterval)
 	defer ticker.Stop()
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -98,7 +98,9 @@
 	c.mu.Unlock()
 	c.options.Logger.Info().Str("event", "link_up").Str("peer", name).Str("data_centre", hello.GetDataCentre()).Send()
 	c.shareDirectory(name)
-	c.loop.changedRoom()
+	if hello.GetVoter() {
+		c.loop.push(placement.PeerJoined{})
+	}
 }
 
 // shareDirectory tells a new peer of all coordinators, and all of a new
--- a/placement/core.go
+++ b/placement/core.go
@@ -101,6 +101,8 @@
 		c.answered(e)
 	case PeerRoom:
 		c.peerRoom(e)
+	case PeerJoined:
+		c.roomChanged()
 	case PeerLost:
 		c.peerLost(e.Peer)
 	case Requested:
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -336,6 +336,20 @@
 	})
 })
 
+var _ = Describe("the room for others", func() {
+	// Guards against a new peer that hears of idle targets only when they change.
+	It("is told again when a coordinator is linked", func() {
+		h := newHarness()
+		h.own("t")
+		take[placement.RoomChanged](h)
+		h.step(time.Second, placement.Tick{})
+		Expect(take[placement.RoomChanged](h)).To(BeEmpty())
+		h.step(0, placement.PeerJoined{})
+		Expect(take[placement.RoomChanged](h)).To(HaveLen(1))
+		Expect(h.core.Rooms()).To(ConsistOf(HaveField("Target", "t")))
+	})
+})
+
 var _ = Describe("a coordinator that leaves", func() {
 	// Guards against a planned stop that cuts running tasks: the target goes to
 	// the peer with its runs, and their ends come back to the home.
--- a/placement/events.go
+++ b/placement/events.go
@@ -47,6 +47,10 @@
 	Rooms    []Room
 }
 
+// PeerJoined says that there is a link to another coordinator now, which does
+// not know the room here.
+type PeerJoined struct{}
+
 // PeerLost says that the link to another coordinator has failed.
 type PeerLost struct{ Peer string }
 
