Record the fault that the soak found: reports to a home without a link

Cause: a coordinator that has just come back gets a target from a peer; a forwarded heartbeat overtakes the hand-over, or the run's home is not linked yet. The report of the run's end is dropped, and the home waits until the job is overdue. Ruled out: the grace period itself (the gateway waited for that one job). Before: nothing brought it about. Reports will have to wait for the link, and a heartbeat must not be forwarded while its target is handed over.

--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -336,6 +336,33 @@
 	})
 })
 
+var _ = Describe("a target that is handed over", func() {
+	// Guards against a job that is never answered: the home of a lent run has no
+	// link to the new owner yet when the run's end is told.
+	It("has the ends of its runs told to a home that is linked later", func() {
+		h := newHarness()
+		h.step(0, placement.PeerRoom{Peer: "c1"})
+		h.step(0, placement.HandedOver{Peer: "c1", Hand: placement.HandOver{
+			Description: description("t", 1), Token: 5,
+			Runs: []placement.HandedRun{{
+				Home: "c2", Ref: 77, Task: "0000000000000001.0.0.0", Run: 1, Need: placement.Resources{CPUMillis: 14000},
+			}},
+		}})
+		look := lastLook(h, "t")
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: "0000000000000001.0.0.0", Run: 1, Kind: placement.EndDone}},
+		})
+		Expect(take[placement.SendReports](h)).To(BeEmpty(), "there is no link to c2")
+		h.step(300*time.Millisecond, placement.PeerRoom{Peer: "c2"})
+		Expect(take[placement.SendReports](h)).To(ContainElement(And(
+			HaveField("Peer", "c2"), HaveField("Reports", ContainElement(And(
+				HaveField("Ref", uint64(77)), HaveField("Kind", placement.RunDone),
+			))),
+		)))
+	})
+})
+
 var _ = Describe("the room for others", func() {
 	// Guards against a new peer that hears of idle targets only when they change.
 	It("is told again when a coordinator is linked", func() {
--- a/placement/schedules_test.go
+++ b/placement/schedules_test.go
@@ -116,6 +116,16 @@
 				})
 			}
 		}},
+		"targets handed over while links come back": {perSecond: 45, disturb: func(w *world) {
+			for i := range 400 {
+				w.after(time.Duration(i)*15*time.Millisecond, w.handOver)
+			}
+			for i := range 4 {
+				w.after(time.Duration(1+i)*1500*time.Millisecond, func() {
+					w.killAndReturn(w.cores[w.random.IntN(len(w.cores))], 300*time.Millisecond)
+				})
+			}
+		}},
 		"everything at once": {perSecond: 80, failing: 0.02, disturb: func(w *world) {
 			w.lost = 0.05
 			w.after(5*time.Second, func() { w.lost = 0 })
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -502,6 +502,23 @@
 	})
 }
 
+// killAndReturn ends a coordinator's process; the next one has its links one
+// after the other.
+func (w *world) killAndReturn(c *worldCore, length time.Duration) {
+	w.kill(c, length)
+	for i, other := range w.cores {
+		if other == c {
+			continue
+		}
+		c.cut[other.name], other.cut[c.name] = true, true
+		w.after(length+time.Duration(i*300)*time.Millisecond, func() {
+			w.join(c, other)
+			w.step(c, placement.PeerJoined{})
+			w.step(other, placement.PeerJoined{})
+		})
+	}
+}
+
 // pause lets a coordinator stand still. When it goes on after more than the limit
 // it gives its links up, as the others do after the links' timeout.
 func (w *world) pause(c *worldCore, length time.Duration) {
