Keep the platform's names in platform/, and name what stood twice

Ruled out: merging the two process starters of the integration tests, which belong to different programs. Conclusion: behaviour unchanged.

--- a/apps/hawthorn-platform/process.go
+++ b/apps/hawthorn-platform/process.go
@@ -74,8 +74,7 @@
 	return err
 }
 
-// signals returns the contexts that end at the first SIGTERM and, after the
-// grace period, at the end of the process.
+// signals returns a context that ends when the process is told to stop.
 func (p *process) signals() (stopping context.Context, release func()) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -11,13 +11,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/placement"
-	"hawthornshore.example/ring"
 	"hawthornshore.example/wire"
 )
 
-// eventRingSize is the number of events that may wait for the core.
-const eventRingSize = 8192
-
 // CoordinatorOptions configure a Coordinator.
 type CoordinatorOptions struct {
 	Name       string // IP address, which also is the host of its link listener
@@ -223,6 +219,3 @@
 		c.options.Logger.Warn().Str("event", "send_failed").Str("peer", peer).Err(err).Send()
 	}
 }
-
-// newEvents returns the ring that feeds a core.
-func newEvents() *ring.Ring[placement.Event] { return ring.New[placement.Event](eventRingSize) }
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -176,7 +176,7 @@
 	for _, name := range g.awaitChoices(ctx, job.Patience()) {
 		answer = g.submitTo(ctx, name, job)
 		answer.Home = name
-		if answer.Outcome != placement.NotRun || answer.RetryAfter > time.Millisecond {
+		if answer.Outcome != placement.NotRun || answer.RetryAfter > placement.RetryElsewhere {
 			break
 		}
 	}
@@ -258,19 +258,7 @@
 			far = append(far, name)
 		}
 	}
-	slices.Sort(near)
-	var order []string
-	for len(near) > 0 {
-		best := rendezvous(g.options.Name, near)
-		order = append(order, best)
-		near = slices.DeleteFunc(near, func(name string) bool { return name == best })
-	}
-	for len(far) > 0 {
-		best := rendezvous(g.options.Name, far)
-		order = append(order, best)
-		far = slices.DeleteFunc(far, func(name string) bool { return name == best })
-	}
-	return order
+	return append(ranked(g.options.Name, near), ranked(g.options.Name, far)...)
 }
 
 func (g *Gateway) submitTo(ctx context.Context, name string, job *placement.Job) Answer {
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// eventRingSize is the number of events that may wait for the core.
+	eventRingSize = 8192
 	// roomInterval is the pause between two updates of the free room for other
 	// coordinators; a task of 60 ms should not find room that is long gone.
 	roomInterval = 10 * time.Millisecond
@@ -64,7 +66,7 @@
 	return &placementLoop{
 		coordinator: c,
 		core:        placement.New(c.options.Placement),
-		events:      newEvents(),
+		events:      ring.New[placement.Event](eventRingSize),
 		starts:      newOrderMetrics(kindStart),
 		stops:       newOrderMetrics(kindStop),
 		looks:       newOrderMetrics(kindLook),
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -57,6 +57,17 @@
 	})
 }
 
+// ranked returns the names by their weight for a key, the highest first.
+func ranked(key string, names []string) []string {
+	var order []string
+	for len(names) > 0 {
+		best := rendezvous(key, names)
+		order = append(order, best)
+		names = slices.DeleteFunc(names, func(name string) bool { return name == best })
+	}
+	return order
+}
+
 // TargetReport takes a target's heartbeat. It returns where further heartbeats
 // should go, or "". An error means that the heartbeat must not be acknowledged.
 func (c *Coordinator) TargetReport(ctx context.Context, d placement.Description) (string, error) {
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -36,7 +36,7 @@
 	Links        []*faultproxy.Proxy // to the targets, in their order
 	folder       string
 	epoch        time.Time
-	client       *http.Client
+	client       standin.Client
 	version      uint64 // of the document sent last
 	acknowledged uint64 // highest acknowledged version
 }
@@ -53,7 +53,10 @@
 
 // Start starts all processes and targets.
 func Start(ctx context.Context, options Options) (*Deployment, error) {
-	d := &Deployment{folder: options.Folder, epoch: time.Now(), client: &http.Client{Timeout: 10 * time.Second}}
+	d := &Deployment{folder: options.Folder, epoch: time.Now(), client: standin.Client{
+		HTTP: &http.Client{Timeout: 10 * time.Second}, Ports: ports,
+		Host: queueHost, Prefix: queuePrefix, Service: service,
+	}}
 	var seeds []string
 	for i := range options.Coordinators {
 		if ip := address(options.Network, 10+i); i < 3 {
--- a/integration/deployment/process.go
+++ b/integration/deployment/process.go
@@ -36,7 +36,7 @@
 	defer log.Close()
 	role := map[bool]string{false: "gateway", true: "coordinator"}[p.Machine.Core]
 	p.command = exec.Command(p.binary, role)
-	p.command.Env = append(os.Environ(), "HAWTHORNSHORE_BOOT="+p.boot)
+	p.command.Env = append(os.Environ(), standin.Environment(p.boot))
 	p.command.Stdout, p.command.Stderr = log, log
 	if err := p.command.Start(); err != nil {
 		return errors.Annotatef(err, "start %s", p.Machine.IP)
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -11,7 +11,7 @@
 	c.roomChanged()
 	for _, j := range slices.Clone(c.queue) {
 		if !j.started && !j.ending {
-			c.answer(j, NotRun, "coordinator is leaving", time.Millisecond)
+			c.answer(j, NotRun, "coordinator is leaving", RetryElsewhere)
 			c.end(j)
 		}
 	}
--- a/placement/types.go
+++ b/placement/types.go
@@ -81,6 +81,10 @@
 // Patience returns how long the job may wait for its first start.
 func (j *Job) Patience() time.Duration { return time.Duration(waitShare * float64(j.objective())) }
 
+// RetryElsewhere is the pause of a refusal that holds for one coordinator only:
+// another one may take the job at once.
+const RetryElsewhere = time.Millisecond
+
 // Outcome is the answer to a submission.
 type Outcome int
 
