--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -102,9 +102,6 @@
 // Run works until the context ends.
 func (c *Coordinator) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	if err := c.voter.start(ctx); err != nil {
-		return err
-	}
 	c.learn(c.options.Seeds)
 	if known := c.memory.recall(); len(known) > 0 {
 		c.loop.push(placement.Remembered{Targets: known})
@@ -112,7 +109,7 @@
 	group.Go(func() error { return c.memory.run(ctx) })
 	group.Go(func() error { return c.mesh.Run(ctx) })
 	group.Go(func() error { return c.loop.run(ctx) })
-	group.Go(c.voter.run)
+	group.Go(func() error { return c.voter.run(ctx) })
 	group.Go(func() error { return c.voter.publishLoop(ctx) })
 	return group.Wait()
 }
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -19,7 +19,7 @@
 	case *wire.Envelope_Directory:
 		c.learn(namesOf(body.Directory))
 	case *wire.Envelope_Consensus:
-		c.voter.node.Receive(peer, body.Consensus.GetData())
+		c.voter.receive(peer, body.Consensus.GetData())
 	case *wire.Envelope_Submission:
 		c.loop.push(placement.Submit{
 			Caller: placement.Caller{Gateway: peer, Ref: body.Submission.GetRef()},
--- a/cluster/voter.go
+++ b/cluster/voter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	jujuerrors "github.com/juju/errors"
@@ -35,9 +36,8 @@
 type voter struct {
 	coordinator *Coordinator
 	store       *documentStore
-	disk        *storage.Disk
-	node        *node.Node
-	applied     chan struct{} // holds a token after entries were applied
+	node        atomic.Pointer[node.Node] // nil until the data folder is open
+	applied     chan struct{}             // holds a token after entries were applied
 }
 
 // Send implements node.Transport.
@@ -46,29 +46,50 @@
 	_ = v.coordinator.mesh.Send(peer, message) // the log repeats what is lost
 }
 
+// openRetry is the pause after a data folder could not be opened; a disk that
+// stalls or is full may recover.
+const openRetry = time.Second
+
+// run opens the data folder and takes part in the log until the context ends. A
+// broken disk ends the voter only: the coordinator goes on with its targets.
+func (v *voter) run(ctx context.Context) error {
+	for {
+		disk, err := v.start(ctx)
+		if err == nil {
+			v.wait(disk)
+			return nil
+		}
+		v.log("voter_not_started", err)
+		select {
+		case <-time.After(openRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // start opens the data folder and joins or forms the group of voters.
-func (v *voter) start(ctx context.Context) error {
+func (v *voter) start(ctx context.Context) (*storage.Disk, error) {
 	options := &v.coordinator.options
 	folder, err := storage.OpenFolder(options.DataFolder)
 	if err != nil {
-		return jujuerrors.Annotate(err, "open data folder")
+		return nil, jujuerrors.Annotate(err, "open data folder")
 	}
 	disk, persisted, err := storage.Open(storage.Options{FS: folder, Instance: options.Name})
 	var damaged *storage.CorruptionError
 	if errors.As(err, &damaged) {
 		v.log("data_set_aside", err)
 		if err := storage.SetAside(folder); err != nil {
-			return jujuerrors.Annotate(err, "set damaged data aside")
+			return nil, jujuerrors.Annotate(err, "set damaged data aside")
 		}
 		disk, persisted, err = storage.Open(storage.Options{FS: folder, Instance: options.Name})
 	}
 	if err != nil {
-		return jujuerrors.Annotate(err, "open data folder")
+		return nil, jujuerrors.Annotate(err, "open data folder")
 	}
-	v.disk = disk
 	options.Logger.Info().Str("event", "data_folder_opened").Str("verdict", disk.Verdict().String()).
 		Str("disk_incarnation", disk.Incarnation()).Send()
-	v.node, err = node.Start(ctx, node.Options{
+	member, err := node.Start(ctx, node.Options{
 		Name:         options.Name,
 		Incarnation:  disk.Incarnation(),
 		Peers:        options.Seeds,
@@ -97,24 +118,33 @@
 		},
 		OnError: func(err error) { v.log("voter_error", err) },
 	})
-	return jujuerrors.Annotate(err, "start voter")
+	if err != nil {
+		return nil, jujuerrors.Annotate(err, "start voter")
+	}
+	v.node.Store(member)
+	return disk, nil
 }
 
 func (v *voter) log(event string, err error) {
 	v.coordinator.options.Logger.Warn().Str("event", event).Str("step", "voter").Err(err).Send()
 }
 
-// run waits for the node's end. A broken disk ends the voter only: the
-// coordinator goes on with its targets.
-func (v *voter) run() error {
-	err := v.node.Wait()
-	if closeErr := v.disk.Close(); err == nil {
+// wait returns at the node's end and closes the disk.
+func (v *voter) wait(disk *storage.Disk) {
+	err := v.node.Load().Wait()
+	if closeErr := disk.Close(); err == nil {
 		err = closeErr
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
 		v.log("voter_stopped", err)
 	}
-	return nil
+}
+
+// receive takes a message of the log.
+func (v *voter) receive(peer string, data []byte) {
+	if member := v.node.Load(); member != nil {
+		member.Receive(peer, data)
+	}
 }
 
 // publishLoop hands applied documents to the coordinator.
@@ -134,7 +164,11 @@
 func (v *voter) change(ctx context.Context, document Document, forwarded bool) error {
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
-	_, err := v.node.Propose(ctx, document.encode())
+	member := v.node.Load()
+	if member == nil {
+		return jujuerrors.Annotate(ErrNoMajority, "open data folder")
+	}
+	_, err := member.Propose(ctx, document.encode())
 	leader, err := v.elsewhere(err, forwarded)
 	if leader == "" {
 		return err
@@ -148,7 +182,11 @@
 func (v *voter) read(ctx context.Context, forwarded bool) (Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, documentTimeout)
 	defer cancel()
-	leader, err := v.elsewhere(v.node.ReadBarrier(ctx), forwarded)
+	member := v.node.Load()
+	if member == nil {
+		return Document{}, jujuerrors.Annotate(ErrNoMajority, "open data folder")
+	}
+	leader, err := v.elsewhere(member.ReadBarrier(ctx), forwarded)
 	if leader == "" {
 		return v.store.current(), err
 	}
@@ -177,9 +215,13 @@
 
 // resign hands the leadership over, if this coordinator has it.
 func (v *voter) resign(ctx context.Context) error {
-	status := v.node.Status()
+	member := v.node.Load()
+	if member == nil {
+		return nil
+	}
+	status := member.Status()
 	if status.Role != consensus.Leader || len(status.Voters) < 2 {
 		return nil
 	}
-	return jujuerrors.Annotate(v.node.TransferLeadership(ctx, ""), "resign")
+	return jujuerrors.Annotate(member.TransferLeadership(ctx, ""), "resign")
 }
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -21,9 +21,20 @@
 	ended       []placement.EndedEntry
 	ends        uint64         // number of the last end
 	highest     map[string]int // highest run of a task that ended or was stopped here
+	records     []RunRecord
 	violations  []string
 }
 
+// RunRecord is a run that has ended.
+type RunRecord struct {
+	Task         string
+	Began, Ended time.Duration
+	Kind         placement.EndKind
+}
+
+// Records returns the runs that have ended so far.
+func (r *Runner) Records() []RunRecord { return slices.Clone(r.records) }
+
 // RunnerOptions configure a Runner.
 type RunnerOptions struct {
 	Lease    time.Duration // longest one that is granted
@@ -108,7 +119,11 @@
 }
 
 func (r *Runner) end(key runnerKey, kind placement.EndKind) {
+	run := r.runs[key]
 	delete(r.runs, key)
+	r.records = append(r.records, RunRecord{
+		Task: key.task, Began: run.began, Ended: min(run.ends, max(r.lease, run.began)), Kind: kind,
+	})
 	r.ends++
 	r.highest[key.task] = max(r.highest[key.task], key.run)
 	r.ended = append(r.ended, placement.EndedEntry{Number: r.ends, Task: key.task, Run: key.run, Kind: kind})
--- /dev/null
+++ b/integration/deployment/deployment.go
@@ -0,0 +1,188 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"hawthornshore.example/emulator"
+	"hawthornshore.example/placement"
+	"hawthornshore.example/platform/standin"
+)
+
+const (
+	queueHost   = "desk.example"
+	queuePrefix = "/work/"
+	service     = "desk"
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace = 6 * time.Second
+)
+
+var ports = standin.Ports{Frontend: 7101, Readiness: 7102, Control: 7103, Link: 7120}
+
+// Deployment is a set of processes with targets.
+type Deployment struct {
+	Gateways     []*Process
+	Coordinators []*Process
+	Targets      []*standin.Target
+	folder       string
+	epoch        time.Time
+	client       *http.Client
+	version      uint64 // of the document sent last
+	acknowledged uint64 // highest acknowledged version
+}
+
+// Options configure a Deployment.
+type Options struct {
+	Folder       string // for settings, data and logs
+	Binary       string
+	Network      int // third part of the loopback addresses, 0 to 250
+	Gateways     int
+	Coordinators int
+	Targets      int
+}
+
+// Start starts all processes and targets.
+func Start(ctx context.Context, options Options) (*Deployment, error) {
+	d := &Deployment{folder: options.Folder, epoch: time.Now(), client: &http.Client{Timeout: 10 * time.Second}}
+	var seeds []string
+	for i := range options.Coordinators {
+		if ip := address(options.Network, 10+i); i < 3 {
+			seeds = append(seeds, ip)
+		}
+	}
+	for i := range options.Coordinators + options.Gateways {
+		core := i < options.Coordinators
+		machine := standin.Machine{IP: address(options.Network, 10+i), DataCentre: fmt.Sprintf("dc%d", i%2), Core: core}
+		boot, err := standin.WriteSettings(options.Folder, machine, seeds, ports, true)
+		if err != nil {
+			return nil, errors.Annotate(err, "write settings")
+		}
+		p := newProcess(options.Folder, options.Binary, boot, machine)
+		if err := p.Start(); err != nil {
+			return nil, err
+		}
+		if core {
+			d.Coordinators = append(d.Coordinators, p)
+		} else {
+			d.Gateways = append(d.Gateways, p)
+		}
+	}
+	return d, d.startTargets(ctx, options.Targets)
+}
+
+func address(network, host int) string { return fmt.Sprintf("127.77.%d.%d", network, host) }
+
+func (d *Deployment) startTargets(ctx context.Context, count int) error {
+	var control []string
+	for _, p := range d.Coordinators {
+		control = append(control, fmt.Sprintf("%s:%d", p.Machine.IP, ports.Control))
+	}
+	for i := range count {
+		target, err := standin.StartTarget(ctx, standin.TargetOptions{
+			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: fmt.Sprintf("dc%d", i%2),
+			Rack: fmt.Sprintf("r%d", i/4), Capacity: placement.Resources{CPUMillis: 32000, MemoryMB: 4096},
+			Control: control, Epoch: d.epoch,
+			Runner: emulator.RunnerOptions{Lease: time.Second, StopTime: 20 * time.Millisecond, Work: work, Need: need},
+		})
+		if err != nil {
+			return err
+		}
+		d.Targets = append(d.Targets, target)
+	}
+	return nil
+}
+
+// work gives each task a run time between 20 and 320 ms that follows from its name.
+func work(task string, _ int) (time.Duration, bool) {
+	hash := fnv.New32a()
+	hash.Write([]byte(task))
+	return time.Duration(20+hash.Sum32()%300) * time.Millisecond, false
+}
+
+func need(string) placement.Resources {
+	return placement.Resources{CPUMillis: taskMillis, MemoryMB: taskMB}
+}
+
+const (
+	taskMillis = 14000
+	taskMB     = 64
+)
+
+// Stop ends all processes that still run.
+func (d *Deployment) Stop() {
+	for _, p := range append(d.Gateways, d.Coordinators...) {
+		if p.Running() {
+			_ = p.Kill() // it may end by itself in between
+		}
+	}
+}
+
+// Logs returns the log lines of all processes that contain a text.
+func (d *Deployment) Logs(text string) string {
+	var found strings.Builder
+	for _, p := range append(d.Gateways, d.Coordinators...) {
+		data, err := os.ReadFile(p.log)
+		if err != nil {
+			fmt.Fprintf(&found, "%s: %v\n", p.Machine.IP, err)
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, text) {
+				fmt.Fprintf(&found, "%s %s", filepath.Base(p.log), line)
+			}
+		}
+	}
+	return found.String()
+}
+
+// Broken returns the broken promises that targets have seen: starts beyond the
+// capacity, and tasks that ran twice at the same time.
+func (d *Deployment) Broken() []string {
+	var broken []string
+	runs := map[string][]emulator.RunRecord{}
+	for _, target := range d.Targets {
+		broken = append(broken, target.Violations()...)
+		for _, record := range target.Records() {
+			for _, other := range runs[record.Task] {
+				if record.Began < other.Ended && other.Began < record.Ended {
+					broken = append(broken, fmt.Sprintf("task %s ran twice at the same time", record.Task))
+				}
+			}
+			runs[record.Task] = append(runs[record.Task], record)
+		}
+	}
+	return broken
+}
+
+// Started returns the number of runs of each job, and of those that were done.
+func (d *Deployment) Started() (started, completed map[string]int) {
+	started, completed = map[string]int{}, map[string]int{}
+	for _, target := range d.Targets {
+		for _, record := range target.Records() {
+			id, _, _ := strings.Cut(record.Task, ".")
+			started[id]++
+			if record.Kind == placement.EndDone {
+				completed[id]++
+			}
+		}
+	}
+	return started, completed
+}
+
+// Idle reports whether nothing runs on any target.
+func (d *Deployment) Idle() bool {
+	for _, target := range d.Targets {
+		if len(target.Runs()) > 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/integration/deployment/soak_test.go
@@ -0,0 +1,93 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/integration/deployment"
+)
+
+// soakSeeds returns the seeds to play and the seconds of load for each. CI plays
+// one short run; SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS play others.
+func soakSeeds() (first, count uint64, length time.Duration) {
+	number := func(name string, fallback uint64) uint64 {
+		value, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+		if err != nil {
+			return fallback
+		}
+		return value
+	}
+	return number("SOAK_SEED", 1), number("SOAK_SEEDS", 1), time.Duration(number("SOAK_SECONDS", 8)) * time.Second
+}
+
+// soak disturbs a deployment at random while callers use it.
+type soak struct {
+	d      *deployment.Deployment
+	random *rand.Rand
+	load   *callers
+}
+
+// disturb does one thing from outside and returns what makes it good again.
+func (s *soak) disturb() (what string, recover func() error) {
+	process := append(s.d.Coordinators, s.d.Gateways...)[s.random.IntN(len(s.d.Coordinators)+len(s.d.Gateways))]
+	target := s.d.Targets[s.random.IntN(len(s.d.Targets))]
+	switch s.random.IntN(5) {
+	case 0:
+		Expect(process.Kill()).To(Succeed())
+		return "kill " + process.Machine.IP, process.Start
+	case 1:
+		Expect(process.Terminate(deployment.Grace)).To(Succeed())
+		return "terminate " + process.Machine.IP, process.Start
+	case 2:
+		Expect(process.Signal(syscall.SIGSTOP)).To(Succeed())
+		return "suspend " + process.Machine.IP, func() error { return process.Signal(syscall.SIGCONT) }
+	case 3:
+		target.Silence(true)
+		return "silence a target", func() error { target.Silence(false); return nil }
+	default:
+		return "hang up on " + process.Machine.IP, func() error { return process.Signal(syscall.SIGHUP) }
+	}
+}
+
+// run alternates load and disturbances until the time is over.
+func (s *soak) run(ctx context.Context, length time.Duration) {
+	end := time.Now().Add(length)
+	for time.Now().Before(end) {
+		what, recover := s.disturb()
+		GinkgoWriter.Printf("disturbance: %s\n", what)
+		for range 10 + s.random.IntN(60) {
+			s.load.submit(ctx, s.d, s.d.Gateways[s.random.IntN(len(s.d.Gateways))], 1+s.random.IntN(4))
+			time.Sleep(time.Duration(5+s.random.IntN(40)) * time.Millisecond)
+		}
+		if s.random.IntN(3) == 0 {
+			_ = s.d.Replace(ctx, s.d.Coordinators[s.random.IntN(len(s.d.Coordinators))]) // checked at the end
+		}
+		Expect(recover()).To(Succeed())
+	}
+}
+
+var _ = Describe("soak", func() {
+	first, count, length := soakSeeds()
+	for seed := first; seed < first+count; seed++ {
+		// Guards against broken promises under random series of signals to
+		// processes and silent targets.
+		It(fmt.Sprintf("keeps all promises, seed %d", seed), SpecTimeout(length+120*time.Second), func(ctx SpecContext) {
+			s := &soak{d: start(ctx, 2, 3+int(seed%2), 6), random: rand.New(rand.NewPCG(seed, 7)), load: &callers{}}
+			s.run(ctx, length)
+			s.load.expectPromises(ctx, s.d)
+			Expect(s.d.AwaitService(ctx, jobID(999_997))).To(Succeed())
+			for _, coordinator := range s.d.Coordinators {
+				Eventually(ctx, func() (uint64, error) { return s.d.Version(ctx, coordinator) }).
+					WithTimeout(20*time.Second).Should(BeNumerically(">=", s.d.Acknowledged()), "document at "+coordinator.Machine.IP)
+			}
+		})
+	}
+})
--- /dev/null
+++ b/integration/deployment/suite_test.go
@@ -0,0 +1,115 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"hawthornshore.example/integration/deployment"
+)
+
+func TestDeployment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "deployment")
+}
+
+// limit bounds a spec, so that its processes are ended even if it hangs.
+const limit = SpecTimeout(120 * time.Second)
+
+// program builds the program once, with the race detector.
+var program = sync.OnceValues(func() (string, error) {
+	return gexec.Build("hawthornshore.example/apps/hawthorn-platform", "-race")
+})
+
+var _ = AfterSuite(gexec.CleanupBuildArtifacts)
+
+var networks atomic.Int32 // loopback networks in use
+
+// start starts a deployment and waits until it serves.
+func start(ctx context.Context, gateways, coordinators, targets int) *deployment.Deployment {
+	GinkgoHelper()
+	binary, err := program()
+	Expect(err).NotTo(HaveOccurred())
+	targetsEnd, stopTargets := context.WithCancel(context.Background())
+	d, err := deployment.Start(targetsEnd, deployment.Options{
+		Folder: GinkgoT().TempDir(), Binary: binary, Network: int(networks.Add(1)),
+		Gateways: gateways, Coordinators: coordinators, Targets: targets,
+	})
+	DeferCleanup(func() {
+		stopTargets()
+		d.Stop()
+		races := d.Logs("DATA RACE")
+		Expect(races).To(BeEmpty(), func() string { return d.Logs("") })
+		if CurrentSpecReport().Failed() {
+			AddReportEntry("logs", d.Logs(""))
+		}
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(ctx, func() error { return d.Replace(ctx, d.Coordinators[0]) }).WithTimeout(30 * time.Second).Should(Succeed())
+	Expect(d.AwaitService(ctx, jobID(999_999))).To(Succeed())
+	return d
+}
+
+func jobID(number int) string { return fmt.Sprintf("%016x", number) }
+
+// callers submit jobs at the same time and keep their answers.
+type callers struct {
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	answers []deployment.Answer
+	next    int
+}
+
+// submit hands one job in, in the background.
+func (c *callers) submit(ctx context.Context, d *deployment.Deployment, gateway *deployment.Process, tasks int) {
+	c.mu.Lock()
+	c.next++
+	id := jobID(c.next)
+	c.mu.Unlock()
+	c.group.Go(func() {
+		answer := d.Submit(ctx, gateway, id, tasks)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.answers = append(c.answers, answer)
+	})
+}
+
+// expectPromises checks all answers against what the targets have seen.
+func (c *callers) expectPromises(ctx context.Context, d *deployment.Deployment) {
+	GinkgoHelper()
+	c.group.Wait()
+	Eventually(ctx, d.Idle).WithTimeout(20*time.Second).Should(BeTrue(), "runs without a caller end")
+	Expect(d.Broken()).To(BeEmpty())
+	started, completed := d.Started()
+	for _, answer := range c.answers {
+		switch {
+		case answer.State == "completed":
+			Expect(completed[answer.JobID]).To(BeNumerically(">=", answer.Tasks), "tasks of completed job "+answer.JobID)
+		case answer.Status == 503 || answer.Status == 429:
+			Expect(started[answer.JobID]).To(BeZero(), "refused job "+answer.JobID+"\n"+d.Logs(answer.JobID))
+		}
+	}
+	for _, p := range append(d.Gateways, d.Coordinators...) {
+		Expect(p.Running()).To(BeTrue(), "process "+p.Machine.IP)
+	}
+}
+
+// count returns how many answers have a status; 0 counts requests without one.
+func (c *callers) count(status int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, answer := range c.answers {
+		if answer.Status == status {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/placement/core_test.go
@@ -0,0 +1,362 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
+)
+
+// harness steps one core and keeps its effects.
+type harness struct {
+	core    *placement.Core
+	now     time.Duration
+	effects []placement.Effect
+}
+
+func newHarness() *harness {
+	return &harness{
+		core: placement.New(placement.Options{
+			Name: "c0", Lease: time.Second, StopTime: 50 * time.Millisecond, UnixMS: 1_700_000_000_000,
+		}),
+		now: time.Hour,
+	}
+}
+
+func (h *harness) step(after time.Duration, event placement.Event) {
+	h.now += after
+	h.core.Step(h.now, event)
+	h.effects = append(h.effects, h.core.Ready()...)
+}
+
+// take returns the effects of a type since the last call.
+func take[T any](h *harness) []T {
+	var taken []T
+	var rest []placement.Effect
+	for _, effect := range h.effects {
+		if e, ok := effect.(T); ok {
+			taken = append(taken, e)
+		} else {
+			rest = append(rest, effect)
+		}
+	}
+	h.effects = rest
+	return taken
+}
+
+func description(id string, sequence uint64) placement.Description {
+	return placement.Description{
+		ID: id, Service: "desk", Address: id + ":1", Capacity: placement.Resources{CPUMillis: 32000, MemoryMB: 1000},
+		Born: 7, Sequence: sequence, ClockMS: 1000,
+	}
+}
+
+// own makes a target ready.
+func (h *harness) own(id string) {
+	h.step(0, placement.Reported{Description: description(id, 1)})
+	looks := take[placement.LookOrder](h)
+	Expect(looks).To(HaveLen(1))
+	h.step(time.Millisecond, placement.Answered{Order: looks[0].Order, Result: placement.OK, ClockMS: 1000, Born: 7})
+}
+
+func job(id string, tasks int) placement.Job {
+	return placement.Job{
+		ID: id, Queue: "q", Service: "desk", MaxAttempts: 2, Stretch: 1.6, Allowance: 60 * time.Millisecond,
+		Steps: []placement.Step{{Count: tasks, Need: placement.Resources{CPUMillis: 14000}, Expected: 200 * time.Millisecond}},
+	}
+}
+
+func (h *harness) submit(id string, tasks int, ref uint64) {
+	h.step(0, placement.Submit{Caller: placement.Caller{Gateway: "g", Ref: ref}, Job: job(id, tasks)})
+}
+
+// startAll confirms the starts that were ordered and returns them.
+func (h *harness) startAll() []placement.StartOrder {
+	starts := take[placement.StartOrder](h)
+	for i := range starts {
+		h.step(time.Millisecond, placement.Answered{Order: starts[i].Order, Result: placement.OK, ClockMS: 1100, Born: 7})
+	}
+	return starts
+}
+
+var _ = Describe("targets", func() {
+	// Guards against a start on a target that may hold runs of an earlier owner.
+	It("get no start before a look without unknown runs", func() {
+		h := newHarness()
+		h.step(0, placement.Reported{Description: description("t", 1)})
+		h.submit("0000000000000001", 1, 1)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		look := take[placement.LookOrder](h)[0]
+		Expect(look.ExpiresMS).To(BeZero(), "a first look extends no lease")
+		stranger := placement.RunningEntry{Task: "ffff.0.0.0", Run: 1}
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1000, Born: 7, Running: []placement.RunningEntry{stranger},
+		})
+		stops := take[placement.StopOrder](h)
+		Expect(stops).To(HaveLen(1))
+		Expect(stops[0].Task).To(Equal("ffff.0.0.0"))
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		h.step(time.Millisecond, placement.Answered{Order: stops[0].Order, Result: placement.OK, ClockMS: 1001, Born: 7})
+		look = take[placement.LookOrder](h)[0]
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1002, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: "ffff.0.0.0", Run: 1, Kind: placement.EndStopped}},
+		})
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+	})
+
+	// Guards against a target over its capacity while a start is unanswered, and
+	// against an order that is still on its way when its task starts elsewhere.
+	It("hold room for a start without an answer until a look under a newer token", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 2, 1)
+		starts := take[placement.StartOrder](h)
+		Expect(starts).To(HaveLen(2))
+		h.step(200*time.Millisecond, placement.Answered{Order: starts[0].Order, Result: placement.Unknown})
+		look := take[placement.LookOrder](h)
+		Expect(look).NotTo(BeEmpty())
+		newest := look[len(look)-1]
+		Expect(newest.Token).To(BeNumerically(">", starts[0].Token))
+		h.submit("0000000000000002", 1, 2)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		h.step(time.Millisecond, placement.Answered{
+			Order: newest.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+			Running: []placement.RunningEntry{{Task: starts[1].Task, Run: 1}},
+		})
+		again := take[placement.StartOrder](h)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Token).To(BeNumerically(">=", newest.Token))
+	})
+
+	// Guards against a lease that goes on for ever at a target whose answers are
+	// lost, so that its runs are alive when they start elsewhere.
+	It("get no longer leases while looks are not answered", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 1, 1)
+		h.startAll()
+		var leases []int64
+		for range 4 {
+			looks := take[placement.LookOrder](h)
+			last := looks[len(looks)-1]
+			leases = append(leases, last.ExpiresMS)
+			h.step(last.Timeout, placement.Answered{Order: last.Order, Result: placement.Unknown})
+		}
+		Expect(leases[2:]).To(HaveEach(BeZero()))
+	})
+
+	// Guards against new work on a target that leaves, and against forgetting it
+	// when a peer has acknowledged the notice.
+	It("get no start after they or a peer have said that they leave", func() {
+		h := newHarness()
+		h.own("t")
+		h.step(0, placement.DrainNoticed{Target: "t", Born: 7})
+		h.submit("0000000000000001", 1, 1)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		late := newHarness()
+		late.step(0, placement.DrainNoticed{Target: "t", Born: 7})
+		late.own("t")
+		late.submit("0000000000000001", 1, 1)
+		Expect(take[placement.StartOrder](late)).To(BeEmpty())
+	})
+
+	// Guards against tasks that stand still on a target that answers.
+	It("have a run stopped that stands still, and started elsewhere", func() {
+		h := newHarness()
+		h.own("t")
+		h.own("u")
+		h.submit("0000000000000001", 1, 1)
+		start := h.startAll()[0]
+		for range 2 {
+			look := lastLook(h, start.Target.ID)
+			h.step(look.Wait, placement.Answered{
+				Order: look.Order, Result: placement.OK, ClockMS: 1500, Born: 7,
+				Running: []placement.RunningEntry{{Task: start.Task, Run: 1, Percent: 10}},
+			})
+		}
+		stops := take[placement.StopOrder](h)
+		Expect(stops).To(HaveLen(1))
+		h.step(time.Millisecond, placement.Answered{Order: stops[0].Order, Result: placement.OK, ClockMS: 1900, Born: 7})
+		look := lastLook(h, start.Target.ID)
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1950, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: start.Task, Run: 1, Kind: placement.EndStopped}},
+		})
+		again := take[placement.StartOrder](h)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Target.ID).NotTo(Equal(start.Target.ID))
+		Expect(again[0].Run).To(Equal(2))
+	})
+
+	// Guards against a restarted coordinator that waits for heartbeats, and
+	// against one that takes back what another one has taken over.
+	It("that were remembered are looked at soon, unless a peer owns them", func() {
+		h := newHarness()
+		h.step(0, placement.Remembered{Targets: []placement.Description{description("t", 0), description("u", 0)}})
+		h.step(0, placement.PeerRoom{Peer: "c1", Rooms: []placement.Room{{Target: "u", Service: "desk"}}})
+		h.step(100*time.Millisecond, placement.Tick{})
+		Expect(take[placement.LookOrder](h)).To(BeEmpty())
+		h.step(300*time.Millisecond, placement.Tick{})
+		looks := take[placement.LookOrder](h)
+		Expect(looks).To(HaveLen(1))
+		Expect(looks[0].Target.ID).To(Equal("t"))
+	})
+})
+
+// lastLook returns the newest look at a target.
+func lastLook(h *harness, id string) placement.LookOrder {
+	var found placement.LookOrder
+	for _, look := range take[placement.LookOrder](h) {
+		if look.Target.ID == id {
+			found = look
+		}
+	}
+	Expect(found.Order).NotTo(BeZero(), "no look at "+id)
+	return found
+}
+
+var _ = Describe("jobs", func() {
+	// Guards against a refusal of a job that has run, and against one that waits
+	// for longer than a quarter of its objective.
+	It("are refused as not run only while no task has started", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 3, 1)
+		h.submit("0000000000000002", 1, 2)
+		h.startAll()
+		h.step(110*time.Millisecond, placement.Tick{})
+		answers := take[placement.AnswerJob](h)
+		Expect(answers).To(HaveLen(1))
+		Expect(answers[0].JobID).To(Equal("0000000000000002"))
+		Expect(answers[0].Outcome).To(Equal(placement.NotRun))
+		Expect(answers[0].RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	// Guards against a second run beside the first one after a resubmission.
+	It("keep their tasks when their ID is submitted again", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 1, 1)
+		start := h.startAll()[0]
+		h.submit("0000000000000001", 1, 2)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Caller.Ref", uint64(1))))
+		look := lastLook(h, "t")
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: start.Task, Run: 1, Kind: placement.EndDone}},
+		})
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(And(
+			HaveField("Caller.Ref", uint64(2)), HaveField("Outcome", placement.Completed),
+		)))
+	})
+
+	// Guards against a job that starts anew while runs of its first submission
+	// are being stopped.
+	It("start anew only after the runs of a withdrawn submission have ended", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 1, 1)
+		start := h.startAll()[0]
+		h.step(0, placement.Withdraw{Caller: placement.Caller{Gateway: "g", Ref: 1}})
+		Expect(take[placement.StopOrder](h)).To(HaveLen(1))
+		h.submit("0000000000000001", 1, 2)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		look := lastLook(h, "t")
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: start.Task, Run: 1, Kind: placement.EndStopped}},
+		})
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+	})
+
+	// Guards against a step that begins before the steps it follows are done.
+	It("start a step after the steps before it", func() {
+		h := newHarness()
+		h.own("t")
+		two := job("0000000000000001", 1)
+		second := two.Steps[0]
+		second.After = []int{0}
+		two.Steps = append(two.Steps, second)
+		h.step(0, placement.Submit{Caller: placement.Caller{Gateway: "g", Ref: 1}, Job: two})
+		first := h.startAll()
+		Expect(first).To(HaveLen(1))
+		look := lastLook(h, "t")
+		h.step(time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: first[0].Task, Run: 1, Kind: placement.EndDone}},
+		})
+		Expect(take[placement.StartOrder](h)).To(ConsistOf(HaveField("Task", "0000000000000001.0.1.0")))
+	})
+
+	// Guards against attempts beyond the limit and a wrong outcome.
+	It("fail when a task has used up its attempts", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 1, 1)
+		for number := range uint64(2) {
+			start := h.startAll()
+			Expect(start).To(HaveLen(1))
+			look := lastLook(h, "t")
+			h.step(time.Millisecond, placement.Answered{
+				Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+				Ended: []placement.EndedEntry{{Number: number + 1, Task: start[0].Task, Run: start[0].Run, Kind: placement.EndFailed}},
+			})
+		}
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Outcome", placement.Failed)))
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+	})
+
+	// Guards against runs that go on after a cancel.
+	It("are stopped when they are cancelled", func() {
+		h := newHarness()
+		h.own("t")
+		h.submit("0000000000000001", 1, 1)
+		h.startAll()
+		h.step(0, placement.Cancel{JobID: "0000000000000001"})
+		Expect(take[placement.StopOrder](h)).To(HaveLen(1))
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Outcome", placement.Cancelled)))
+	})
+})
+
+var _ = Describe("a coordinator that leaves", func() {
+	// Guards against a planned stop that cuts running tasks: the target goes to
+	// the peer with its runs, and their ends come back to the home.
+	It("gives its targets away with their runs", func() {
+		h := newHarness()
+		h.own("t")
+		h.step(0, placement.PeerRoom{Peer: "c1"})
+		h.submit("0000000000000001", 1, 1)
+		start := h.startAll()[0]
+		h.step(0, placement.Drain{})
+		hands := take[placement.SendHandOver](h)
+		Expect(hands).To(HaveLen(1))
+		Expect(hands[0].Hand.Runs).To(ConsistOf(And(HaveField("Task", start.Task), HaveField("Home", "c0"))))
+
+		peer := placement.New(placement.Options{Name: "c1", Lease: time.Second, UnixMS: 1_700_000_000_000})
+		peer.Step(h.now, placement.HandedOver{Peer: "c0", Hand: hands[0].Hand})
+		var look placement.LookOrder
+		for _, effect := range peer.Ready() {
+			if e, ok := effect.(placement.LookOrder); ok {
+				look = e
+			}
+		}
+		Expect(look.Token).To(BeNumerically(">", start.Token))
+		peer.Step(h.now+time.Millisecond, placement.Answered{
+			Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: start.Task, Run: 1, Kind: placement.EndDone}},
+		})
+		var reports []placement.Report
+		for _, effect := range peer.Ready() {
+			if e, ok := effect.(placement.SendReports); ok {
+				reports = append(reports, e.Reports...)
+			}
+		}
+		h.step(0, placement.PlacementsReported{Peer: "c1", Reports: reports})
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Outcome", placement.Completed)))
+		Expect(h.core.Idle()).To(BeTrue())
+	})
+})
