Keep reports until their home is linked, and move a heartbeat with its target

The forwarded heartbeat of a target that was being handed over could overtake the hand-over, so that the new owner stopped its runs as unknown ones.

--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -47,6 +47,7 @@
 	done    bool
 	waiters map[chan struct{}]ownedQuestion
 	asked   []jobQuestion
+	beats   []beatQuestion
 }
 
 // jobQuestion asks for a job, or to cancel it.
@@ -56,6 +57,22 @@
 	answer chan *wire.JobState
 }
 
+// beatQuestion asks what to do with a heartbeat of a target that another
+// coordinator shall own.
+type beatQuestion struct {
+	description placement.Description
+	owner       string
+	answer      chan beatOutcome
+}
+
+type beatOutcome int
+
+const (
+	beatForeign   beatOutcome = iota // the target is not owned here
+	beatKept                         // taken here: orders to the target are on their way
+	beatHandsOver                    // the target is on its way to its owner
+)
+
 // ownedQuestion waits until a boot of a target is owned for certain.
 type ownedQuestion struct {
 	target string
@@ -147,6 +164,7 @@
 	}
 	l.answerWaiters()
 	l.answerQuestions(ctx, now)
+	l.answerBeats(ctx, now)
 	l.mu.Lock()
 	l.done = l.core.Idle()
 	l.mu.Unlock()
@@ -296,6 +314,53 @@
 	}
 }
 
+// moveTarget gives a target to the coordinator that shall own it, together with
+// its heartbeat. A heartbeat that went there by itself could overtake the
+// hand-over, and the target's runs would be stopped as unknown ones.
+func (l *placementLoop) moveTarget(ctx context.Context, d placement.Description, owner string) (beatOutcome, error) {
+	question := beatQuestion{description: d, owner: owner, answer: make(chan beatOutcome, 1)}
+	l.mu.Lock()
+	l.beats = append(l.beats, question)
+	l.mu.Unlock()
+	l.push(placement.Tick{})
+	select {
+	case outcome := <-question.answer:
+		return outcome, nil
+	case <-ctx.Done():
+		return beatForeign, errors.Annotatef(ctx.Err(), "ask for target %s", d.ID)
+	}
+}
+
+func (l *placementLoop) answerBeats(ctx context.Context, now time.Duration) {
+	l.mu.Lock()
+	beats := l.beats
+	l.beats = nil
+	l.mu.Unlock()
+	for _, question := range beats {
+		question.answer <- l.moveOrKeep(now, &question)
+		for _, effect := range l.core.Ready() {
+			l.effect(ctx, effect)
+		}
+	}
+}
+
+// moveOrKeep keeps a leaving target: its heartbeat may be acknowledged only by
+// an owner that is sure of it.
+func (l *placementLoop) moveOrKeep(now time.Duration, q *beatQuestion) beatOutcome {
+	if !l.core.Owns(q.description.ID) {
+		return beatForeign
+	}
+	l.core.Step(now, placement.Reported{Description: q.description})
+	if q.description.Draining {
+		return beatKept
+	}
+	l.core.Step(now, placement.Yield{Target: q.description.ID, Peer: q.owner})
+	if l.core.Owns(q.description.ID) {
+		return beatKept
+	}
+	return beatHandsOver
+}
+
 func (l *placementLoop) idle() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -99,7 +99,7 @@
 	c.options.Logger.Info().Str("event", "link_up").Str("peer", name).Str("data_centre", hello.GetDataCentre()).Send()
 	c.shareDirectory(name)
 	if hello.GetVoter() {
-		c.loop.push(placement.PeerJoined{})
+		c.loop.push(placement.PeerJoined{Peer: name})
 	}
 }
 
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -78,10 +78,18 @@
 	if owner == c.options.Name || owner == "" {
 		return "", c.own(ctx, d)
 	}
-	c.loop.push(placement.Yield{Target: d.ID, Peer: owner})
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	_, err := c.mesh.Call(ctx, owner, &wire.Envelope{Body: &wire.Envelope_TargetHandOver{
+	outcome, err := c.loop.moveTarget(ctx, d, owner)
+	switch {
+	case err != nil:
+		return "", errors.Trace(err)
+	case outcome == beatKept:
+		return "", c.confirmDraining(ctx, d)
+	case outcome == beatHandsOver:
+		return c.options.ReportURL(owner), nil
+	}
+	_, err = c.mesh.Call(ctx, owner, &wire.Envelope{Body: &wire.Envelope_TargetHandOver{
 		TargetHandOver: &wire.TargetHandOver{Target: descriptionToWire(&d)},
 	}})
 	if err != nil {
@@ -101,6 +109,12 @@
 // only once no earlier owner can start anything on it.
 func (c *Coordinator) own(ctx context.Context, d placement.Description) error {
 	c.loop.push(placement.Reported{Description: d})
+	return c.confirmDraining(ctx, d)
+}
+
+// confirmDraining waits until this coordinator owns a leaving target for
+// certain, and tells the others that it leaves.
+func (c *Coordinator) confirmDraining(ctx context.Context, d placement.Description) error {
 	if !d.Draining {
 		return nil
 	}
--- a/cluster/ownership_test.go
+++ b/cluster/ownership_test.go
@@ -48,6 +48,48 @@
 	})
 })
 
+var _ = Describe("a heartbeat of a target that another coordinator shall own", func() {
+	owned := func(l *placementLoop) placement.Description {
+		d := placement.Description{ID: "i-1", Service: "s", Capacity: placement.Resources{CPUMillis: 1000}, Born: 7, Sequence: 1}
+		l.core.Step(0, placement.PeerRoom{Peer: "10.2.0.1"})
+		l.core.Step(0, placement.Reported{Description: d})
+		return d
+	}
+	looked := func(l *placementLoop) {
+		for _, effect := range l.core.Ready() {
+			if look, ok := effect.(placement.LookOrder); ok {
+				l.core.Step(0, placement.Answered{Order: look.Order, Result: placement.OK, Born: 7})
+			}
+		}
+		l.core.Ready()
+	}
+
+	// Guards against a forwarded heartbeat that overtakes the hand-over of its
+	// target, whose runs the new owner then stops as unknown ones.
+	It("goes with the hand-over of the target", func() {
+		l := newPlacementLoop(newTestCoordinator("10.1.0.1", "z1"))
+		d := owned(l)
+		looked(l)
+		d.Sequence = 2
+		Expect(l.moveOrKeep(0, &beatQuestion{description: d, owner: "10.2.0.1"})).To(Equal(beatHandsOver))
+		Expect(l.core.Ready()).To(ContainElement(HaveField("Hand.Description.Sequence", uint64(2))))
+		Expect(l.moveOrKeep(0, &beatQuestion{description: d, owner: "10.2.0.1"})).To(Equal(beatForeign))
+	})
+
+	// Guards against a target whose unanswered orders nobody accounts for, and
+	// against a notice to leave that is acknowledged before its owner is certain.
+	It("is taken here while orders are on their way, and while the target leaves", func() {
+		l := newPlacementLoop(newTestCoordinator("10.1.0.1", "z1"))
+		d := owned(l)
+		d.Sequence = 2
+		Expect(l.moveOrKeep(0, &beatQuestion{description: d, owner: "10.2.0.1"})).To(Equal(beatKept))
+		looked(l)
+		d.Sequence, d.Draining = 3, true
+		Expect(l.moveOrKeep(0, &beatQuestion{description: d, owner: "10.2.0.1"})).To(Equal(beatKept))
+		Expect(l.core.Rooms()).To(BeEmpty(), "the target leaves")
+	})
+})
+
 var _ = Describe("a request", func() {
 	// Guards against a job that is run without what its caller counts on.
 	DescribeTable("is refused for what is not supported", func(request JobRequest) {
--- a/placement/core.go
+++ b/placement/core.go
@@ -41,8 +41,9 @@
 	remembered []Description
 	recallAt   time.Duration
 
-	peers   map[string]*peer
-	reports map[string][]Report // by peer, until the next Ready
+	peers   map[string]*peer // that have told their room
+	linked  map[string]bool
+	reports map[string][]outgoing // by peer
 	given   map[string][]givenTarget
 	leaving bool
 
@@ -67,7 +68,8 @@
 		callers:     map[Caller]*job{},
 		placed:      map[uint64]*task{},
 		peers:       map[string]*peer{},
-		reports:     map[string][]Report{},
+		linked:      map[string]bool{},
+		reports:     map[string][]outgoing{},
 		given:       map[string][]givenTarget{},
 	}
 }
@@ -80,6 +82,9 @@
 		c.lastRef = uint64(c.options.UnixMS) << refShift
 	}
 	c.now = now
+	if name := sender(event); name != "" {
+		c.linked[name] = true
+	}
 	switch e := event.(type) {
 	case Tick:
 		c.tick()
@@ -102,6 +107,7 @@
 	case PeerRoom:
 		c.peerRoom(e)
 	case PeerJoined:
+		c.linked[e.Peer] = true
 		c.roomChanged()
 	case PeerLost:
 		c.peerLost(e.Peer)
@@ -127,10 +133,7 @@
 // Ready returns the pending effects and clears them.
 func (c *Core) Ready() []Effect {
 	c.schedule()
-	for _, name := range sortedKeys(c.reports) {
-		c.emit(SendReports{Peer: name, Reports: c.reports[name]})
-	}
-	clear(c.reports)
+	c.sendReports()
 	if c.roomDirty {
 		c.roomDirty = false
 		c.emit(RoomChanged{})
@@ -140,6 +143,9 @@
 	return effects
 }
 
+// Owns reports whether a target is owned here or about to be.
+func (c *Core) Owns(id string) bool { return c.targets[id] != nil }
+
 // Owned returns the targets that are owned here and do not leave.
 func (c *Core) Owned() []Description {
 	owned := make([]Description, 0, len(c.targets))
@@ -231,6 +237,7 @@
 	c.expireQueue()
 	c.expireJobs()
 	c.forgetGiven()
+	c.forgetReports()
 	c.scheduleDue = true
 	if c.leaving {
 		c.giveTargetsAway()
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -371,7 +371,7 @@
 		take[placement.RoomChanged](h)
 		h.step(time.Second, placement.Tick{})
 		Expect(take[placement.RoomChanged](h)).To(BeEmpty())
-		h.step(0, placement.PeerJoined{})
+		h.step(0, placement.PeerJoined{Peer: "c1"})
 		Expect(take[placement.RoomChanged](h)).To(HaveLen(1))
 		Expect(h.core.Rooms()).To(ConsistOf(HaveField("Target", "t")))
 	})
--- a/placement/events.go
+++ b/placement/events.go
@@ -49,7 +49,7 @@
 
 // PeerJoined says that there is a link to another coordinator now, which does
 // not know the room here.
-type PeerJoined struct{}
+type PeerJoined struct{ Peer string }
 
 // PeerLost says that the link to another coordinator has failed.
 type PeerLost struct{ Peer string }
@@ -106,6 +106,23 @@
 	Peer   string
 }
 
+// sender returns the coordinator that an event came from, or "".
+func sender(event Event) string {
+	switch e := event.(type) {
+	case PeerRoom:
+		return e.Peer
+	case Requested:
+		return e.Peer
+	case StopRequested:
+		return e.Peer
+	case PlacementsReported:
+		return e.Peer
+	case HandedOver:
+		return e.Peer
+	}
+	return ""
+}
+
 // FromPeer reports whether an event came over a link, so that it is void once the
 // link is given up.
 func FromPeer(event Event) bool {
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -104,7 +104,7 @@
 			SafeAfter: c.options.Lease + c.options.StopTime + orderTimeout, Reason: "handed over late",
 		}
 		if home := hand.Runs[i].Home; home != c.options.Name {
-			c.reports[home] = append(c.reports[home], report)
+			c.queueReport(home, report)
 		} else if placed := c.placed[report.Ref]; placed != nil && placed.token <= report.Token {
 			c.placementReported(report)
 		}
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -19,6 +19,7 @@
 // the runs; if it has failed, their leases end.
 func (c *Core) peerLost(name string) {
 	delete(c.peers, name)
+	delete(c.linked, name)
 	c.handOversLost(name)
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
@@ -51,7 +52,7 @@
 		p := &e.Placements[i]
 		t := c.lendable(p)
 		if t == nil {
-			c.reports[e.Peer] = append(c.reports[e.Peer], Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: "no room"})
+			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: "no room"})
 			continue
 		}
 		c.begin(t, &run{
--- a/placement/target.go
+++ b/placement/target.go
@@ -354,7 +354,7 @@
 	case r.home == "":
 		c.placementReported(report)
 	default:
-		c.reports[r.home] = append(c.reports[r.home], report)
+		c.queueReport(r.home, report)
 	}
 }
 
--- a/placement/world_test.go
+++ b/placement/world_test.go
@@ -513,8 +513,8 @@
 		c.cut[other.name], other.cut[c.name] = true, true
 		w.after(length+time.Duration(i*300)*time.Millisecond, func() {
 			w.join(c, other)
-			w.step(c, placement.PeerJoined{})
-			w.step(other, placement.PeerJoined{})
+			w.step(c, placement.PeerJoined{Peer: other.name})
+			w.step(other, placement.PeerJoined{Peer: c.name})
 		})
 	}
 }
