Vote in enough coordinators to lose the largest data centre

Cause: with two coordinators in one data centre and one machine to be lost at once, three voters could include both, and the loss of that data centre (which the settings allow) took the majority with it.

The number of voters follows the largest data centre that was linked at once. Ruled out: choosing voters by data centre, which needs the log to know places.

Test: cluster, 'the number of voters'.

--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -80,8 +80,8 @@
 		Name: s.IP, DataCentre: s.DataCentre, Listener: links, LinkPort: s.LinkPort, Seeds: s.Seeds,
 		DataFolder: s.DataFolder,
 		KeepJobs:   s.KeepJobs,
-		Voters:     2*max(s.DiskLosses, 1) + 1,
-		MayForm:    s.FirstStart && slices.Contains(s.Seeds, s.IP),
+		DiskLosses: s.DiskLosses, WholeCentres: s.WholeCentres,
+		MayForm: s.FirstStart && slices.Contains(s.Seeds, s.IP),
 		Placement: placement.Options{
 			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(),
 		},
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -23,11 +23,13 @@
 	Seeds      []string     // names of the coordinators that are known at the start
 	DataFolder string
 	KeepJobs   time.Duration // how long stored jobs are known after their end
-	Voters     int           // number of voters to fill up to
-	MayForm    bool          // first start of the whole system, and among the seeds
-	Placement  placement.Options
-	Targets    Targets
-	Logger     zerolog.Logger
+	DiskLosses int           // coordinators that may be lost at once
+	// WholeCentres says that all coordinators of a data centre may be lost at once.
+	WholeCentres bool
+	MayForm      bool // first start of the whole system, and among the seeds
+	Placement    placement.Options
+	Targets      Targets
+	Logger       zerolog.Logger
 	// Decode reads the operators' document.
 	Decode func(body []byte) (*Deployment, error)
 	// ReportURL returns where a coordinator takes targets' heartbeats.
@@ -51,6 +53,7 @@
 	services  map[string]bool   // of the document; nil before the first one
 	directory map[string]string // data centre by coordinator; empty: not known yet
 	linked    map[string]peerState
+	largest   int // most coordinators of one data centre that were linked at once
 	draining  bool
 }
 
@@ -164,6 +167,27 @@
 // drainPoll is how often a draining coordinator looks whether it is done.
 const drainPoll = 50 * time.Millisecond
 
+// wantedVoters returns how many voters bear the losses that are to be borne. It
+// does not fall when coordinators are lost.
+func (c *Coordinator) wantedVoters() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	centres := map[string]int{c.options.DataCentre: 1}
+	for _, state := range c.linked {
+		if state.coordinator {
+			centres[state.dataCentre]++
+		}
+	}
+	for _, count := range centres {
+		c.largest = max(c.largest, count)
+	}
+	losses := max(c.options.DiskLosses, 1)
+	if c.options.WholeCentres {
+		losses = max(losses, c.largest)
+	}
+	return 2*losses + 1
+}
+
 // Document returns the newest document that this coordinator knows.
 func (c *Coordinator) Document() Document {
 	c.mu.Lock()
--- a/cluster/ownership_test.go
+++ b/cluster/ownership_test.go
@@ -48,6 +48,23 @@
 	})
 })
 
+var _ = Describe("the number of voters", func() {
+	// Guards against a group that loses its majority with one data centre.
+	It("bears the loss of the largest data centre, also after it is lost", func() {
+		c := newTestCoordinator("10.1.0.1", "z1")
+		c.options.DiskLosses = 1
+		c.LinkUp(&wire.Hello{Instance: "10.2.0.1", DataCentre: "z2", Voter: true})
+		c.LinkUp(&wire.Hello{Instance: "10.2.0.2", DataCentre: "z2", Voter: true})
+		c.LinkUp(&wire.Hello{Instance: "10.2.0.9", DataCentre: "z2"})
+		Expect(c.wantedVoters()).To(Equal(3), "no data centre has to be lost")
+		c.options.WholeCentres = true
+		Expect(c.wantedVoters()).To(Equal(5))
+		c.LinkDown("10.2.0.1", nil)
+		c.LinkDown("10.2.0.2", nil)
+		Expect(c.wantedVoters()).To(Equal(5))
+	})
+})
+
 var _ = Describe("a heartbeat of a target that another coordinator shall own", func() {
 	owned := func(l *placementLoop) placement.Description {
 		d := placement.Description{ID: "i-1", Service: "s", Capacity: placement.Resources{CPUMillis: 1000}, Born: 7, Sequence: 1}
--- a/cluster/voter.go
+++ b/cluster/voter.go
@@ -97,7 +97,7 @@
 		Incarnation:  disk.Incarnation(),
 		Peers:        options.Seeds,
 		AdmitAny:     true,
-		Voters:       options.Voters,
+		Voters:       v.coordinator.wantedVoters,
 		ReplaceAfter: replaceVoterAfter,
 		NeverForm:    !options.MayForm || disk.Verdict() == storage.Lost || disk.Verdict() == storage.Foreign,
 		Persisted:    persisted,
--- a/consensus/node/join.go
+++ b/consensus/node/join.go
@@ -161,16 +161,16 @@
 // voter: a peer always, another one while voters are missing.
 func (j *joiner) mayVote(members *consensus.Members, learner string) bool {
 	options := &j.loop.node.options
-	if options.Voters == 0 {
+	if options.Voters == nil {
 		return slices.Contains(options.Peers, NameOf(learner))
 	}
-	return len(members.Voters) < options.Voters
+	return len(members.Voters) < options.Voters()
 }
 
 // lostVoter returns a voter whose vote a caught-up learner may take, or "".
 func (j *joiner) lostVoter(members *consensus.Members) string {
 	options := &j.loop.node.options
-	if options.Voters == 0 || options.ReplaceAfter == 0 {
+	if options.Voters == nil || options.ReplaceAfter == 0 {
 		return ""
 	}
 	for _, id := range members.Voters {
--- a/consensus/node/options.go
+++ b/consensus/node/options.go
@@ -46,9 +46,10 @@
 	Persisted   consensus.Persisted
 	// AdmitAny admits instances that are not among the peers, as learners.
 	AdmitAny bool
-	// Voters is the number of voters that admitted learners fill up to; one
-	// that stays silent for ReplaceAfter is replaced. 0 gives votes to peers only.
-	Voters       int
+	// Voters returns the number of voters that admitted learners fill up to; one
+	// that stays silent for ReplaceAfter is replaced. It is called by the core
+	// loop. Nil gives votes to peers only.
+	Voters       func() int
 	ReplaceAfter time.Duration
 	// NeverForm keeps the instance from forming a new group. It is set when
 	// the disk is known to have held a log before, so that the loss of all
