Run other goroutines' questions in the placement loop by one mechanism

Questions about jobs and heartbeats of targets that move had a queue, an answer channel and a loop of their own each. Behaviour is unchanged.

--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -46,33 +46,9 @@
 	mu      sync.Mutex // guards what other goroutines read
 	done    bool
 	waiters map[chan struct{}]ownedQuestion
-	asked   []jobQuestion
-	beats   []beatQuestion
+	calls   []func(now time.Duration)
 }
 
-// jobQuestion asks for a job, or to cancel it.
-type jobQuestion struct {
-	id     string
-	cancel bool
-	answer chan *wire.JobState
-}
-
-// beatQuestion asks what to do with a heartbeat of a target that another
-// coordinator shall own.
-type beatQuestion struct {
-	description placement.Description
-	owner       string
-	answer      chan beatOutcome
-}
-
-type beatOutcome int
-
-const (
-	beatForeign   beatOutcome = iota // the target is not owned here
-	beatKept                         // taken here: orders to the target are on their way
-	beatHandsOver                    // the target is on its way to its owner
-)
-
 // ownedQuestion waits until a boot of a target is owned for certain.
 type ownedQuestion struct {
 	target string
@@ -178,8 +154,7 @@
 		l.coordinator.memory.remember(l.core.Owned())
 	}
 	l.answerWaiters()
-	l.answerQuestions(ctx, now)
-	l.answerBeats(ctx, now)
+	l.runCalls(ctx, now)
 	l.mu.Lock()
 	l.done = l.core.Idle()
 	l.mu.Unlock()
@@ -301,83 +276,51 @@
 	}
 }
 
-// ask asks the core for a job, or to cancel it.
-func (l *placementLoop) ask(ctx context.Context, id string, cancel bool) (*wire.JobState, error) {
-	question := jobQuestion{id: id, cancel: cancel, answer: make(chan *wire.JobState, 1)}
+// do runs a function in the loop, which owns the core, and waits for it.
+func (l *placementLoop) do(ctx context.Context, call func(now time.Duration)) error {
+	done := make(chan struct{})
 	l.mu.Lock()
-	l.asked = append(l.asked, question)
+	l.calls = append(l.calls, func(now time.Duration) {
+		call(now)
+		close(done)
+	})
 	l.mu.Unlock()
 	l.push(placement.Tick{})
 	select {
-	case state := <-question.answer:
-		return state, nil
+	case <-done:
+		return nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return errors.Annotate(ctx.Err(), "wait for the placement loop")
 	}
 }
 
-func (l *placementLoop) answerQuestions(ctx context.Context, now time.Duration) {
+// runCalls runs what other goroutines ask for.
+func (l *placementLoop) runCalls(ctx context.Context, now time.Duration) {
 	l.mu.Lock()
-	asked := l.asked
-	l.asked = nil
+	calls := l.calls
+	l.calls = nil
 	l.mu.Unlock()
-	for _, question := range asked {
-		active, started := l.core.Job(question.id)
-		if active && question.cancel {
-			l.core.Step(now, placement.Cancel{JobID: question.id})
-			for _, effect := range l.core.Ready() {
-				l.effect(ctx, effect)
-			}
-		}
-		question.answer <- &wire.JobState{Active: active, Started: started}
+	for _, call := range calls {
+		call(now)
 	}
-}
-
-// moveTarget gives a target to the coordinator that shall own it, together with
-// its heartbeat. A heartbeat that went there by itself could overtake the
-// hand-over, and the target's runs would be stopped as unknown ones.
-func (l *placementLoop) moveTarget(ctx context.Context, d placement.Description, owner string) (beatOutcome, error) {
-	question := beatQuestion{description: d, owner: owner, answer: make(chan beatOutcome, 1)}
-	l.mu.Lock()
-	l.beats = append(l.beats, question)
-	l.mu.Unlock()
-	l.push(placement.Tick{})
-	select {
-	case outcome := <-question.answer:
-		return outcome, nil
-	case <-ctx.Done():
-		return beatForeign, errors.Annotatef(ctx.Err(), "ask for target %s", d.ID)
+	for _, effect := range l.core.Ready() {
+		l.effect(ctx, effect)
 	}
 }
 
-func (l *placementLoop) answerBeats(ctx context.Context, now time.Duration) {
-	l.mu.Lock()
-	beats := l.beats
-	l.beats = nil
-	l.mu.Unlock()
-	for _, question := range beats {
-		question.answer <- l.moveOrKeep(now, &question)
-		for _, effect := range l.core.Ready() {
-			l.effect(ctx, effect)
+// ask asks the core for a job that is not stored, or to cancel it.
+func (l *placementLoop) ask(ctx context.Context, id string, cancel bool) (*wire.JobState, error) {
+	state := &wire.JobState{}
+	err := l.do(ctx, func(now time.Duration) {
+		state.Active, state.Started = l.core.Job(id)
+		if state.Active && cancel {
+			l.core.Step(now, placement.Cancel{JobID: id})
 		}
+	})
+	if err != nil {
+		return nil, err
 	}
-}
-
-// moveOrKeep keeps a leaving target: its heartbeat may be acknowledged only by
-// an owner that is sure of it.
-func (l *placementLoop) moveOrKeep(now time.Duration, q *beatQuestion) beatOutcome {
-	if !l.core.Owns(q.description.ID) {
-		return beatForeign
-	}
-	l.core.Step(now, placement.Reported{Description: q.description})
-	if q.description.Draining {
-		return beatKept
-	}
-	l.core.Step(now, placement.Yield{Target: q.description.ID, Peer: q.owner})
-	if l.core.Owns(q.description.ID) {
-		return beatKept
-	}
-	return beatHandsOver
+	return state, nil
 }
 
 func (l *placementLoop) idle() bool {
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -98,6 +98,44 @@
 	return c.options.ReportURL(owner), nil
 }
 
+// beatOutcome is what becomes of a heartbeat of a target that another
+// coordinator shall own.
+type beatOutcome int
+
+const (
+	beatForeign   beatOutcome = iota // the target is not owned here
+	beatKept                         // taken here: orders to the target are on their way
+	beatHandsOver                    // the target is on its way to its owner
+)
+
+// moveTarget gives a target to the coordinator that shall own it, together with
+// its heartbeat. A heartbeat that went there by itself could overtake the
+// hand-over, and the target's runs would be stopped as unknown ones.
+func (l *placementLoop) moveTarget(ctx context.Context, d placement.Description, owner string) (beatOutcome, error) {
+	var outcome beatOutcome
+	if err := l.do(ctx, func(now time.Duration) { outcome = l.moveOrKeep(now, d, owner) }); err != nil {
+		return beatForeign, errors.Annotatef(err, "move target %s", d.ID)
+	}
+	return outcome, nil
+}
+
+// moveOrKeep keeps a leaving target: its heartbeat may be acknowledged only by
+// an owner that is sure of it.
+func (l *placementLoop) moveOrKeep(now time.Duration, d placement.Description, owner string) beatOutcome {
+	if !l.core.Owns(d.ID) {
+		return beatForeign
+	}
+	l.core.Step(now, placement.Reported{Description: d})
+	if d.Draining {
+		return beatKept
+	}
+	l.core.Step(now, placement.Yield{Target: d.ID, Peer: owner})
+	if l.core.Owns(d.ID) {
+		return beatKept
+	}
+	return beatHandsOver
+}
+
 // serves reports whether a service may be used. Any may before the first document.
 func (c *Coordinator) serves(service string) bool {
 	c.mu.Lock()
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 const (
 	// homeLease is how long after a confirmed read of the log this coordinator
@@ -159,7 +162,9 @@
 		}
 	}
 	c.jobs[j.ID] = j
-	c.decide(Decided{Event: "stored_job_adopted", Job: j.ID, Value: int64(j.left), Reason: "epoch"})
+	c.decide(Decided{
+		Event: "stored_job_adopted", Job: j.ID, Reason: "epoch " + strconv.Itoa(e.Epoch), Value: int64(j.left),
+	})
 	c.enqueue(j)
 }
 
