Start a task again as soon as its run is given up

Cause: after the log had given a run up, its task kept the pause before the next question to the log, 1 s. Found by the new spec 'has a run of unknown fate given up before its task starts again', which failed first.

--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -19,7 +19,7 @@
 func newHarness() *harness {
 	return &harness{
 		core: placement.New(placement.Options{
-			Name: "c0", Lease: time.Second, StopTime: 50 * time.Millisecond, UnixMS: 1_700_000_000_000,
+			Name: "c0", Home: "c0/1", Lease: time.Second, StopTime: 50 * time.Millisecond, UnixMS: 1_700_000_000_000,
 		}),
 		now: time.Hour,
 	}
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -192,9 +192,13 @@
 		t.avoid = t.target
 		c.settle(t)
 	}
-	if p.Floor >= t.runs {
-		t.runs, t.unsure = p.Floor, false
+	if p.Floor < t.runs {
+		return
+	}
+	if t.unsure {
+		t.notBefore = 0 // the run is over or does not count
 	}
+	t.runs, t.unsure = p.Floor, false
 }
 
 // settle ends a task's placement. Later reports about it are ignored.
--- /dev/null
+++ b/placement/stored_test.go
@@ -0,0 +1,167 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
+)
+
+const (
+	storedID   = "00000000000000aa"
+	storedTask = storedID + ".0.0.0"
+)
+
+// storedChanged returns what the log says of a stored job of one task.
+func storedChanged(home string, epoch int, progress placement.Progress) placement.StoredChanged {
+	j := job(storedID, 1)
+	j.Stored = true
+	return placement.StoredChanged{Job: j, Home: home, Epoch: epoch, Tasks: [][]placement.Progress{{progress}}}
+}
+
+// store brings a stored job to the harness, whose home is confirmed.
+func (h *harness) store() {
+	h.confirm()
+	h.step(0, storedChanged("c0/1", 0, placement.Progress{}))
+}
+
+func (h *harness) confirm() { h.step(0, placement.HomeConfirmed{Began: h.now}) }
+
+// look answers the outstanding look at target "t".
+func (h *harness) look(answered placement.Answered) {
+	answered.Order, answered.Result = lastLook(h, "t").Order, placement.OK
+	answered.Born, answered.ClockMS = 7, 1200
+	h.step(time.Millisecond, answered)
+}
+
+func ended(number uint64, run int, kind placement.EndKind) []placement.EndedEntry {
+	return []placement.EndedEntry{{Number: number, Task: storedTask, Run: run, Kind: kind}}
+}
+
+var _ = Describe("a stored job", func() {
+	var h *harness
+	BeforeEach(func() {
+		h = newHarness()
+		h.own("t")
+	})
+
+	// Guards against a target that forgets an end which is lost with this process,
+	// so that the task runs again.
+	It("has the end of its run recorded before the target forgets it", func() {
+		h.store()
+		h.startAll()
+		h.look(placement.Answered{Ended: ended(1, 1, placement.EndDone)})
+		records := take[placement.RecordEnd](h)
+		Expect(records).To(ConsistOf(placement.RecordEnd{Target: "t", Born: 7, Number: 1, Task: storedTask, Run: 1, Done: true}))
+		h.step(100*time.Millisecond, placement.Tick{})
+		for _, look := range take[placement.LookOrder](h) {
+			Expect(look.Seen).To(BeZero())
+			h.step(0, placement.Answered{Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7, Ended: ended(1, 1, placement.EndDone)})
+		}
+		h.step(time.Millisecond, placement.EndRecorded{Target: "t", Born: 7, Number: 1})
+		h.step(100*time.Millisecond, placement.Tick{})
+		Expect(lastLook(h, "t").Seen).To(Equal(uint64(1)))
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+	})
+
+	// Guards against a second run of a task whose first one may count as done.
+	It("has a run of unknown fate given up before its task starts again", func() {
+		h.store()
+		h.startAll()
+		h.look(placement.Answered{Ended: ended(1, 1, placement.EndLapsed)})
+		Expect(take[placement.GiveUpRun](h)).To(ConsistOf(placement.GiveUpRun{Task: storedTask, Run: 1}))
+		h.step(20*time.Millisecond, placement.Tick{})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		h.step(0, storedChanged("c0/1", 0, placement.Progress{Floor: 1}))
+		Expect(take[placement.StartOrder](h)).To(ConsistOf(HaveField("Run", 2)))
+	})
+
+	// Guards against an end that counts although the task has run again since.
+	It("lets a target's lease lapse if the end of a given-up run is told", func() {
+		h.store()
+		h.startAll()
+		h.look(placement.Answered{Ended: ended(1, 1, placement.EndDone)})
+		h.step(0, placement.EndRecorded{Target: "t", Born: 7, Number: 1, GivenUp: true})
+		h.submit("0000000000000001", 1, 1)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty(), "a start extends the lease")
+		for range 60 {
+			h.step(20*time.Millisecond, placement.Tick{})
+			for _, look := range take[placement.LookOrder](h) {
+				Expect(look.ExpiresMS).To(BeZero())
+				if look.Seen == 1 {
+					return
+				}
+				h.step(0, placement.Answered{Order: look.Order, Result: placement.OK, ClockMS: 1300, Born: 7, Ended: ended(1, 1, placement.EndDone)})
+			}
+		}
+		Fail("the target is never told to forget the end")
+	})
+
+	// Guards against two homes that run the same task: this one has lost the
+	// majority, and another one may have the job by now.
+	It("is stopped while its home is not confirmed", func() {
+		h.store()
+		h.startAll()
+		h.confirm()
+		h.step(1400*time.Millisecond, placement.Tick{})
+		Expect(take[placement.StopOrder](h)).To(BeEmpty())
+		h.step(200*time.Millisecond, placement.Tick{})
+		Expect(take[placement.StopOrder](h)).To(ConsistOf(HaveField("Task", storedTask)))
+		Expect(take[placement.Decided](h)).To(ContainElement(HaveField("Event", "job_suspended")))
+	})
+
+	// Guards against runs by a home whose confirmation is old.
+	It("does not start before its home is confirmed", func() {
+		h.step(0, storedChanged("c0/1", 0, placement.Progress{}))
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		h.step(0, placement.HomeConfirmed{Began: h.now - 2*time.Second})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		h.confirm()
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+	})
+
+	// Guards against a job that runs on at a home that has lost it.
+	It("is stopped when it has another home, and forgotten", func() {
+		h.store()
+		h.startAll()
+		h.step(0, storedChanged("c1/1", 1, placement.Progress{Floor: 1000}))
+		Expect(take[placement.StopOrder](h)).To(ConsistOf(HaveField("Task", storedTask)))
+		Expect(h.core.StoredJobs()).To(BeEmpty())
+	})
+
+	// Guards against a home that starts a task while a run of the earlier home may
+	// still go on, and against run numbers that are used twice.
+	It("waits at a new home until nothing of the earlier one runs", func() {
+		h.step(0, storedChanged("c0/1", 1, placement.Progress{Floor: 1000}))
+		for range 34 { // 3.4 s; the wait is 3.6 s
+			h.step(100*time.Millisecond, placement.HomeConfirmed{Began: h.now})
+			Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		}
+		h.step(300*time.Millisecond, placement.HomeConfirmed{Began: h.now})
+		h.step(20*time.Millisecond, placement.Tick{})
+		Expect(take[placement.StartOrder](h)).To(ConsistOf(HaveField("Run", 1001)))
+	})
+
+	// Guards against a caller of a job that is not stored and has the ID of one.
+	It("keeps its tasks when a job that is not stored has its ID", func() {
+		h.store()
+		h.startAll()
+		h.submit(storedID, 1, 1)
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Outcome", placement.Aborted)))
+		Expect(take[placement.StopOrder](h)).To(BeEmpty())
+	})
+
+	// Guards against a stored job that is never scheduled because another job had
+	// its ID when the log told of it.
+	It("begins after a job that is not stored and has its ID", func() {
+		h.confirm()
+		h.submit(storedID, 1, 1)
+		h.startAll()
+		h.step(0, storedChanged("c0/1", 0, placement.Progress{}))
+		Expect(h.core.StoredJobs()).To(BeEmpty())
+		h.look(placement.Answered{Ended: ended(1, 1, placement.EndDone)})
+		Expect(h.core.StoredJobs()).To(ConsistOf(storedID))
+	})
+})
