Leave targets to the larger side of a cut

A coordinator that is linked to fewer than half of those that it knows turns a target of another data centre away once. One that comes again has found no other coordinator and is taken.

Ruled out: turning away on both sides of an even split.

Test: cluster, 'a coordinator that is cut off from most others'.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -53,8 +53,10 @@
 	services  map[string]bool   // of the document; nil before the first one
 	directory map[string]string // data centre by coordinator; empty: not known yet
 	linked    map[string]peerState
-	largest   int // most coordinators of one data centre that were linked at once
-	draining  bool
+	// turnedAway is when targets were told to try other coordinators first.
+	turnedAway map[string]time.Time
+	largest    int // most coordinators of one data centre that were linked at once
+	draining   bool
 }
 
 // peerState is what is known of the instance at the other end of a link.
@@ -75,6 +77,7 @@
 		directory: map[string]string{options.Name: options.DataCentre},
 		linked:    map[string]peerState{},
 
+		turnedAway: map[string]time.Time{},
 		confirmNow: make(chan struct{}, 1),
 		lifetime:   context.Background(),
 	}
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -74,6 +74,9 @@
 	if !c.serves(d.Service) {
 		return "", errors.NotFoundf("service %q", d.Service)
 	}
+	if c.turnsAway(&d) {
+		return "", errors.Errorf("target %s has to try the coordinators of %s first", d.ID, d.DataCentre)
+	}
 	owner := c.owner(d.ID, d.DataCentre)
 	if owner == c.options.Name || owner == "" {
 		return "", c.own(ctx, d)
@@ -136,6 +139,37 @@
 	return beatHandsOver
 }
 
+// turnAwayTime is how long a target that was turned away has to find another
+// coordinator: it tries one a second at most, and there are few.
+const turnAwayTime = 6 * time.Second
+
+// turnsAway reports whether a target of another data centre shall try other
+// coordinators first. A coordinator without links to most others cannot lend its
+// targets to them, so a target is worth more on their side of a cut. One that
+// comes again has not found any.
+func (c *Coordinator) turnsAway(d *placement.Description) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	linked := 1
+	for _, state := range c.linked {
+		if state.coordinator {
+			linked++
+		}
+	}
+	if d.DataCentre == c.options.DataCentre || 2*linked >= len(c.directory) {
+		clear(c.turnedAway)
+		return false
+	}
+	since := time.Since(c.turnedAway[d.ID])
+	if since < turnAwayTime {
+		return false
+	}
+	c.turnedAway[d.ID] = time.Now()
+	c.options.Logger.Info().Str("event", "target_turned_away").Str("target", d.ID).Str("data_centre", d.DataCentre).
+		Int("linked", linked).Int("known", len(c.directory)).Send()
+	return true
+}
+
 // serves reports whether a service may be used. Any may before the first document.
 func (c *Coordinator) serves(service string) bool {
 	c.mu.Lock()
--- a/cluster/ownership_test.go
+++ b/cluster/ownership_test.go
@@ -65,6 +65,26 @@
 	})
 })
 
+var _ = Describe("a coordinator that is cut off from most others", func() {
+	// Guards against targets that are drawn to the small side of a cut, where most
+	// callers cannot use them, and against targets that nobody owns.
+	It("turns targets of other data centres away once", func() {
+		c := newTestCoordinator("10.1.0.1", "z1")
+		mine, other := &placement.Description{ID: "i-1", DataCentre: "z1"}, &placement.Description{ID: "i-2", DataCentre: "z2"}
+		for _, name := range []string{"10.2.0.1", "10.3.0.1", "10.4.0.1"} {
+			c.LinkUp(&wire.Hello{Instance: name, DataCentre: "z" + name[3:4], Voter: true})
+		}
+		Expect(c.turnsAway(other)).To(BeFalse(), "it is linked to all")
+		c.LinkDown("10.2.0.1", nil)
+		c.LinkDown("10.3.0.1", nil)
+		Expect(c.turnsAway(other)).To(BeFalse(), "it is on one of two equal sides")
+		c.LinkDown("10.4.0.1", nil)
+		Expect(c.turnsAway(mine)).To(BeFalse())
+		Expect(c.turnsAway(other)).To(BeTrue())
+		Expect(c.turnsAway(other)).To(BeFalse(), "it has found no other coordinator")
+	})
+})
+
 var _ = Describe("a heartbeat of a target that another coordinator shall own", func() {
 	owned := func(l *placementLoop) placement.Description {
 		d := placement.Description{ID: "i-1", Service: "s", Capacity: placement.Resources{CPUMillis: 1000}, Born: 7, Sequence: 1}
