--- a/integration/cluster.go
+++ b/integration/cluster.go
@@ -197,24 +197,17 @@
 // target that has gone.
 func (c *Cluster) Close() {
 	for _, instance := range c.Instances {
-		instance.process.end()
+		instance.process.End()
 		for _, proxy := range instance.Links {
 			proxy.Close()
 		}
 	}
 	for _, target := range c.Targets {
-		target.process.end()
+		target.process.End()
 		target.Proxy.Close()
 	}
 }
 
-// end kills a process, if it was started and has not ended.
-func (p *Process) end() {
-	if p != nil && p.Running() {
-		_ = p.Kill()
-	}
-}
-
 // Logs returns the ends of all logs, for the report of a failed test.
 func (c *Cluster) Logs() string {
 	const tail = 6000 // bytes per log
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -145,9 +145,7 @@
 // Stop ends all processes that still run.
 func (d *Deployment) Stop() {
 	for _, p := range append(d.Gateways, d.Coordinators...) {
-		if p.Running() {
-			_ = p.Kill() // it may end by itself in between
-		}
+		p.now().End()
 	}
 	for _, proxy := range d.Links {
 		_ = proxy.Close() // its connections end with the processes
--- a/integration/deployment/process.go
+++ b/integration/deployment/process.go
@@ -10,89 +10,59 @@
 
 	"github.com/juju/errors"
 
+	"hawthornshore.example/integration/process"
 	"hawthornshore.example/platform/standin"
 )
 
-// Process is a gateway or a coordinator.
+// Process is a gateway or a coordinator, which may be started again.
 type Process struct {
 	Machine standin.Machine
 	binary  string
 	boot    string // settings file
+	folder  string
 	log     string
 
 	mu      sync.Mutex
-	command *exec.Cmd
-	ended   chan struct{}
+	current *process.Process
+}
+
+func newProcess(folder, binary, boot string, machine standin.Machine) *Process {
+	return &Process{
+		Machine: machine, binary: binary, boot: boot, folder: folder,
+		log: filepath.Join(folder, machine.IP+".log"),
+	}
 }
 
 // Start starts the process.
 func (p *Process) Start() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return errors.Annotate(err, "open log")
-	}
-	defer log.Close()
 	role := map[bool]string{false: "gateway", true: "coordinator"}[p.Machine.Core]
-	p.command = exec.Command(p.binary, role)
-	p.command.Env = append(os.Environ(), standin.Environment(p.boot))
-	p.command.Stdout, p.command.Stderr = log, log
-	if err := p.command.Start(); err != nil {
-		return errors.Annotatef(err, "start %s", p.Machine.IP)
+	command := exec.Command(p.binary, role)
+	command.Env = append(os.Environ(), standin.Environment(p.boot))
+	started, err := process.Start(p.folder, p.Machine.IP, command)
+	if err != nil {
+		return errors.Trace(err)
 	}
-	ended := make(chan struct{})
-	p.ended = ended
-	command := p.command
-	go func() {
-		_ = command.Wait() // the exit code of a killed process says nothing
-		close(ended)
-	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.current = started
 	return nil
 }
 
-// Signal sends a signal to the process, by its ID.
-func (p *Process) Signal(signal syscall.Signal) error {
+func (p *Process) now() *process.Process {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return errors.Annotatef(p.command.Process.Signal(signal), "signal %s", p.Machine.IP)
+	return p.current
 }
 
+// Signal sends a signal to the process, by its ID.
+func (p *Process) Signal(signal syscall.Signal) error { return p.now().Signal(signal) }
+
 // Kill ends the process at once.
-func (p *Process) Kill() error {
-	if err := p.Signal(syscall.SIGKILL); err != nil {
-		return err
-	}
-	<-p.ended
-	return nil
-}
+func (p *Process) Kill() error { return p.now().Kill() }
 
-// Terminate asks the process to end and waits for that.
-func (p *Process) Terminate(grace time.Duration) error {
-	if err := p.Signal(syscall.SIGTERM); err != nil {
-		return err
-	}
-	select {
-	case <-p.ended:
-		return nil
-	case <-time.After(grace):
-		return errors.Timeoutf("end of %s", p.Machine.IP)
-	}
-}
+// Terminate asks the process to end and waits for that. A process that ends with
+// another code than 0 is an error too.
+func (p *Process) Terminate(grace time.Duration) error { return p.now().Stop(grace) }
 
 // Running reports whether the process has not ended.
-func (p *Process) Running() bool {
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
-
-func newProcess(folder, binary, boot string, machine standin.Machine) *Process {
-	return &Process{
-		Machine: machine, binary: binary, boot: boot,
-		log: filepath.Join(folder, machine.IP+".log"),
-	}
-}
+func (p *Process) Running() bool { return p.now().Running() }
--- a/integration/instance.go
+++ b/integration/instance.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"os/exec"
 	"path/filepath"
 	"syscall"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"hawthornshore.example/integration/faultproxy"
+	"hawthornshore.example/integration/process"
 	"hawthornshore.example/structs"
 )
 
@@ -23,15 +25,15 @@
 	Links map[string]*faultproxy.Proxy // the way to each peer
 
 	cluster *Cluster
-	process *Process
+	process *process.Process
 }
 
 // Start runs the instance. A stopped instance keeps its addresses.
 func (i *Instance) Start() error {
 	c := i.cluster
-	p, err := startProcess(c.dir, i.Name, c.programs.Daemon,
+	p, err := process.Start(c.dir, i.Name, exec.Command(c.programs.Daemon,
 		"--settings", filepath.Join(c.dir, "settings-"+i.Name),
-		"--config", filepath.Join(c.dir, "config"))
+		"--config", filepath.Join(c.dir, "config")))
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/integration/process.go
+++ b/integration/process/process.go
@@ -1,4 +1,5 @@
-package integration
+// Package process runs the programs under test and sends them signals.
+package process
 
 import (
 	"os"
@@ -14,20 +15,20 @@
 // process ID.
 type Process struct {
 	Name    string
-	LogFile string // standard error, appended across restarts
+	LogFile string // its output, appended across restarts
 	command *exec.Cmd
 	ended   chan struct{} // closed when the process has ended
 }
 
-// startProcess runs a program with its standard error in dir/<name>.log.
-func startProcess(dir, name, program string, args ...string) (*Process, error) {
+// Start runs a command with its output appended to dir/<name>.log.
+func Start(dir, name string, command *exec.Cmd) (*Process, error) {
 	path := filepath.Join(dir, name+".log")
 	log, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	defer log.Close()
-	p := &Process{Name: name, LogFile: path, command: exec.Command(program, args...), ended: make(chan struct{})}
+	p := &Process{Name: name, LogFile: path, command: command, ended: make(chan struct{})}
 	p.command.Stdout = log
 	p.command.Stderr = log
 	if err := p.command.Start(); err != nil {
@@ -76,6 +77,13 @@
 	return nil
 }
 
+// End kills the process, if it was started and has not ended.
+func (p *Process) End() {
+	if p != nil && p.Running() {
+		_ = p.Kill() // it may end by itself in between
+	}
+}
+
 // Running tells whether the process has not ended.
 func (p *Process) Running() bool {
 	select {
--- a/integration/target.go
+++ b/integration/target.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"syscall"
@@ -10,6 +11,7 @@
 
 	"hawthornshore.example/emulator"
 	"hawthornshore.example/integration/faultproxy"
+	"hawthornshore.example/integration/process"
 )
 
 // Target is an emulated target that runs as a process behind a proxy.
@@ -18,7 +20,7 @@
 	Proxy *faultproxy.Proxy // between the instances and the target
 
 	cluster *Cluster
-	process *Process
+	process *process.Process
 	record  string
 	address string // behind the proxy
 	args    []string
@@ -54,7 +56,7 @@
 	for _, entry := range t.cluster.entries() {
 		args = append(args, "--entry", entry)
 	}
-	p, err := startProcess(t.cluster.dir, t.ID, t.cluster.programs.Target, append(args, t.args...)...)
+	p, err := process.Start(t.cluster.dir, t.ID, exec.Command(t.cluster.programs.Target, append(args, t.args...)...))
 	if err != nil {
 		return errors.Trace(err)
 	}
