Keep the list of targets over a power loss

The list is synced before it replaces the earlier one, and the folder after.

Test: cluster, 'has a list on the disk before it replaces the earlier one', which failed first (write and rename only).

--- a/cluster/memory.go
+++ b/cluster/memory.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hawthornshore.example/placement"
+	"hawthornshore.example/storage"
 	"hawthornshore.example/wire"
 )
 
@@ -20,17 +21,20 @@
 )
 
 // targetMemory keeps the owned targets on disk, so that a new process need not
-// wait for their heartbeats. It is a hint: the file is not synced, and a target
-// that is taken over by mistake is handed back with its next heartbeat.
+// wait for their heartbeats. It is a hint: a target that is taken over by mistake
+// is handed back with its next heartbeat.
 type targetMemory struct {
-	path    string
+	folder  string
+	open    func() (storage.FileSystem, error) // the folder, for writing
 	logger  zerolog.Logger
 	pending chan []placement.Description // holds the newest list
 }
 
 func newTargetMemory(dataFolder string, logger zerolog.Logger) *targetMemory {
+	folder := filepath.Join(dataFolder, memoryFolder)
 	return &targetMemory{
-		path:    filepath.Join(dataFolder, memoryFolder, memoryFile),
+		folder:  folder,
+		open:    func() (storage.FileSystem, error) { return storage.OpenFolder(folder) },
 		logger:  logger,
 		pending: make(chan []placement.Description, 1),
 	}
@@ -100,20 +104,35 @@
 	if err != nil {
 		return errors.Annotate(err, "encode targets")
 	}
-	if err := os.MkdirAll(filepath.Dir(m.path), 0o755); err != nil {
-		return errors.Annotate(err, "create folder")
+	files, err := m.open()
+	if err != nil {
+		return errors.Annotate(err, "open folder")
+	}
+	temporary := memoryFile + ".new"
+	file, err := files.Create(temporary)
+	if err != nil {
+		return errors.Annotate(err, "create list")
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return errors.Annotate(err, "write list")
 	}
-	temporary := m.path + ".new"
-	if err := os.WriteFile(temporary, data, 0o644); err != nil {
-		return errors.Annotate(err, "write targets")
+	if err := files.Rename(temporary, memoryFile); err != nil {
+		return errors.Annotate(err, "replace list")
 	}
-	return errors.Annotate(os.Rename(temporary, m.path), "replace targets")
+	return errors.Annotate(files.SyncFolder(), "sync folder")
 }
 
 // recall returns the targets of the last list. A list that is missing, torn or
 // damaged is left out with a log line.
 func (m *targetMemory) recall() []placement.Description {
-	data, err := os.ReadFile(m.path)
+	data, err := os.ReadFile(filepath.Join(m.folder, memoryFile))
 	if err != nil {
 		if !os.IsNotExist(err) {
 			m.logger.Warn().Str("event", "targets_not_recalled").Err(err).Send()
@@ -123,7 +142,7 @@
 	known := &wire.KnownTargets{}
 	err = proto.Unmarshal(data, known)
 	if err == nil && checksum(known.GetTargets()) != known.GetChecksum() {
-		err = errors.NotValidf("checksum of %s", m.path)
+		err = errors.NotValidf("checksum of %s", memoryFile)
 	}
 	if err != nil {
 		m.logger.Warn().Str("event", "targets_not_recalled").Err(err).Send()
--- a/cluster/memory_test.go
+++ b/cluster/memory_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornshore.example/placement"
+	"hawthornshore.example/storage"
 )
 
 var _ = Describe("targetMemory", func() {
@@ -27,6 +28,21 @@
 		Expect(m.recall()).To(Equal(targets))
 	})
 
+	// Guards against a list that a power loss takes: the coordinators then waited a
+	// second and more for heartbeats after it.
+	It("has a list on the disk before it replaces the earlier one", func() {
+		folder := GinkgoT().TempDir()
+		m := newTargetMemory(folder, zerolog.New(io.Discard))
+		var steps []string
+		m.open = func() (storage.FileSystem, error) {
+			files, err := storage.OpenFolder(filepath.Join(folder, memoryFolder))
+			return &recordedFiles{files, &steps}, err
+		}
+		Expect(m.write(knownTargets(targets))).To(Succeed())
+		Expect(steps).To(HaveExactElements("write", "sync", "rename", "sync folder"))
+		Expect(m.recall()).To(Equal(targets))
+	})
+
 	// Guards against a start that fails over a file torn by a power loss.
 	It("takes a torn file for none", func() {
 		folder := GinkgoT().TempDir()
@@ -41,3 +57,39 @@
 		}
 	})
 })
+
+// recordedFiles records the steps that decide what a power loss leaves.
+type recordedFiles struct {
+	storage.FileSystem
+	steps *[]string
+}
+
+func (f *recordedFiles) Create(name string) (storage.File, error) {
+	file, err := f.FileSystem.Create(name)
+	return &recordedFile{file, f.steps}, err
+}
+
+func (f *recordedFiles) Rename(oldName, newName string) error {
+	*f.steps = append(*f.steps, "rename")
+	return f.FileSystem.Rename(oldName, newName)
+}
+
+func (f *recordedFiles) SyncFolder() error {
+	*f.steps = append(*f.steps, "sync folder")
+	return f.FileSystem.SyncFolder()
+}
+
+type recordedFile struct {
+	storage.File
+	steps *[]string
+}
+
+func (f *recordedFile) Write(data []byte) (int, error) {
+	*f.steps = append(*f.steps, "write")
+	return f.File.Write(data)
+}
+
+func (f *recordedFile) Sync() error {
+	*f.steps = append(*f.steps, "sync")
+	return f.File.Sync()
+}
