--- a/cluster/jobstatus.go
+++ b/cluster/jobstatus.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -39,7 +41,7 @@
 	ctx, stop := context.WithTimeout(ctx, questionTimeout)
 	defer stop()
 	current, unsure := false, g.lostLately()
-	for _, name := range g.choices() {
+	for _, name := range g.holders() {
 		reply, err := g.mesh.Call(ctx, name, &wire.Envelope{Body: &wire.Envelope_JobQuestion{
 			JobQuestion: &wire.JobQuestion{JobId: id, Cancel: cancel},
 		}})
@@ -60,6 +62,20 @@
 	return JobUnknown, nil
 }
 
+// holders returns the coordinators that may hold a job. One that is leaving takes
+// no more jobs, but holds those that it has.
+func (g *Gateway) holders() []string {
+	holders := g.choices()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(g.homes)) {
+		if g.homes[name].draining {
+			holders = append(holders, name)
+		}
+	}
+	return holders
+}
+
 // lostLately reports whether a coordinator without a link may hold a job still.
 func (g *Gateway) lostLately() bool {
 	g.mu.Lock()
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -300,6 +300,9 @@
 	calls := l.calls
 	l.calls = nil
 	l.mu.Unlock()
+	if len(calls) == 0 {
+		return
+	}
 	for _, call := range calls {
 		call(now)
 	}
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -148,18 +148,16 @@
 // targets to them, so a target is worth more on their side of a cut. One that
 // comes again has not found any.
 func (c *Coordinator) turnsAway(d *placement.Description) bool {
+	linked := 1 + len(c.peers())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	linked := 1
-	for _, state := range c.linked {
-		if state.coordinator {
-			linked++
-		}
-	}
-	if d.DataCentre == c.options.DataCentre || 2*linked >= len(c.directory) {
+	if 2*linked >= len(c.directory) {
 		clear(c.turnedAway)
 		return false
 	}
+	if d.DataCentre == c.options.DataCentre {
+		return false
+	}
 	since := time.Since(c.turnedAway[d.ID])
 	if since < turnAwayTime {
 		return false
--- a/cluster/ownership_test.go
+++ b/cluster/ownership_test.go
@@ -48,6 +48,18 @@
 	})
 })
 
+var _ = Describe("a question about a job", func() {
+	// Guards against a job at a coordinator that is leaving and that nobody is said
+	// to have.
+	It("goes to coordinators that are leaving too, after the others", func() {
+		g := NewGateway(GatewayOptions{Name: "10.1.0.9", DataCentre: "z1", Logger: zerolog.New(io.Discard)})
+		g.homes["10.1.0.1"] = &home{dataCentre: "z1", draining: true}
+		g.homes["10.2.0.1"] = &home{dataCentre: "z2"}
+		Expect(g.choices()).To(HaveExactElements("10.2.0.1"))
+		Expect(g.holders()).To(HaveExactElements("10.2.0.1", "10.1.0.1"))
+	})
+})
+
 var _ = Describe("the number of voters", func() {
 	// Guards against a group that loses its majority with one data centre.
 	It("bears the loss of the largest data centre, also after it is lost", func() {
@@ -81,6 +93,7 @@
 		c.LinkDown("10.4.0.1", nil)
 		Expect(c.turnsAway(mine)).To(BeFalse())
 		Expect(c.turnsAway(other)).To(BeTrue())
+		Expect(c.turnsAway(mine)).To(BeFalse())
 		Expect(c.turnsAway(other)).To(BeFalse(), "it has found no other coordinator")
 	})
 })
