Handle stop signals before anything else in hawthorn-platform

The handler was installed only after the settings were read and the coordinator was built, so the signal ended the process. Now main installs it first. Ruled out: a SIGKILL after the grace period, the log of the process is empty.

--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -19,23 +19,21 @@
 type coordinatorCommand struct{}
 
 // Run serves targets and operators until SIGTERM or SIGINT.
-func (*coordinatorCommand) Run() error {
+func (*coordinatorCommand) Run(stopping stopSignal) error {
 	p, err := startProcess("coordinator")
 	if err != nil {
 		return err
 	}
-	return p.shutdown(runCoordinator(p))
+	return p.shutdown(runCoordinator(p, stopping))
 }
 
-func runCoordinator(p *process) error {
+func runCoordinator(p *process, stopping context.Context) error {
 	s := &p.settings
 	linkListener, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.LinkPort)))
 	if err != nil {
 		return errors.Annotate(err, "listen for links")
 	}
 	coordinator := cluster.NewCoordinator(coordinatorOptions(p, linkListener))
-	stopping, release := p.stopContext()
-	defer release()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(running)
--- a/apps/hawthorn-platform/gateway.go
+++ b/apps/hawthorn-platform/gateway.go
@@ -27,22 +27,20 @@
 type gatewayCommand struct{}
 
 // Run serves callers until SIGTERM or SIGINT.
-func (*gatewayCommand) Run() error {
+func (*gatewayCommand) Run(stopping stopSignal) error {
 	p, err := startProcess("gateway")
 	if err != nil {
 		return err
 	}
-	return p.shutdown(runGateway(p))
+	return p.shutdown(runGateway(p, stopping))
 }
 
-func runGateway(p *process) error {
+func runGateway(p *process, stopping context.Context) error {
 	s := &p.settings
 	gateway := cluster.NewGateway(cluster.GatewayOptions{
 		Name: s.IP, DataCentre: s.DataCentre, LinkPort: s.LinkPort, Seeds: s.Seeds,
 		Decode: platform.DecodeDocument, Logger: p.logger,
 	})
-	stopping, release := p.stopContext()
-	defer release()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(running)
--- a/apps/hawthorn-platform/process.go
+++ b/apps/hawthorn-platform/process.go
@@ -74,11 +74,6 @@
 	return err
 }
 
-// stopContext returns a context that ends on SIGTERM or SIGINT.
-func (p *process) stopContext() (ctx context.Context, cancel func()) {
-	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-}
-
 // watchSettings calls onChange with the new settings after a SIGHUP and after a
 // change of the file's modification time.
 func (p *process) watchSettings(ctx context.Context, onChange func(platform.Settings)) error {
