Send other coordinators only the targets whose free capacity has changed

Now a new link gets all of them and then only changes, without service and labels when those are the same. A home whose placement was rejected has a wrong view of a target that has not changed at its owner, so the owner sends that target again.

--- /dev/null
+++ b/cluster/availability_test.go
@@ -0,0 +1,55 @@
+package cluster
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
+)
+
+var _ = Describe("updates of available targets", func() {
+	available := func(id string, free int64) placement.AvailableTarget {
+		return placement.AvailableTarget{
+			Target: id, Service: "desk", Labels: []string{"a", "r1"}, Free: placement.Resources{CPUMillis: free},
+		}
+	}
+
+	// Guards against the cost of large fleets: every target's free capacity sent to
+	// every other coordinator each time that a task starts on one of them.
+	It("contain only the targets that have changed, after the first one over a link", func() {
+		p := newAvailabilityPublisher()
+		first := p.updates([]placement.AvailableTarget{available("t", 8), available("u", 8)}, false, []string{"c1"})
+		Expect(first["c1"].GetRooms()).To(HaveLen(2))
+		Expect(first["c1"].GetPartial()).To(BeFalse())
+
+		changed := p.updates([]placement.AvailableTarget{available("t", 4), available("u", 8)}, false, []string{"c1"})
+		Expect(changed["c1"].GetPartial()).To(BeTrue())
+		Expect(changed["c1"].GetRooms()).To(HaveLen(1))
+		Expect(changed["c1"].GetRooms()[0].GetTarget()).To(Equal("t"))
+		Expect(changed["c1"].GetRooms()[0].GetLabels()).To(BeEmpty())
+
+		Expect(p.updates([]placement.AvailableTarget{available("t", 4), available("u", 8)}, false, []string{"c1"})).To(BeEmpty())
+		Expect(p.updates([]placement.AvailableTarget{available("u", 8)}, false, []string{"c1"})["c1"].GetRemoved()).To(HaveExactElements("t"))
+	})
+
+	// Guards against a coordinator that misses targets after its link was replaced.
+	It("contain all targets over a new link", func() {
+		p := newAvailabilityPublisher()
+		targets := []placement.AvailableTarget{available("t", 8), available("u", 8)}
+		p.updates(targets, false, []string{"c1", "c2"})
+		p.forget("c2")
+		updates := p.updates(targets, false, []string{"c1", "c2"})
+		Expect(updates).To(HaveLen(1))
+		Expect(updates["c2"].GetRooms()).To(HaveLen(2))
+		Expect(updates["c2"].GetPartial()).To(BeFalse())
+	})
+
+	// Guards against a target that a home treats as full for good after a rejection.
+	It("contain a target that a home has a wrong view of", func() {
+		p := newAvailabilityPublisher()
+		targets := []placement.AvailableTarget{available("t", 8)}
+		p.updates(targets, false, []string{"c1"})
+		p.correct("t")
+		Expect(p.updates(targets, false, []string{"c1"})["c1"].GetRooms()).To(HaveLen(1))
+	})
+})
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -266,10 +266,12 @@
 	}})
 }
 
-// send queues a one-way message. The message is lost if the link fails (see
-// LinkDown) or its send queue is full.
-func (c *Coordinator) send(peer string, message *wire.Envelope) {
-	if err := c.mesh.Send(peer, message); err != nil && !errors.Is(err, wire.ErrNoLink) {
+// send queues a one-way message and reports whether it was queued. The message is
+// lost if the link fails (see LinkDown) or its send queue is full.
+func (c *Coordinator) send(peer string, message *wire.Envelope) bool {
+	err := c.mesh.Send(peer, message)
+	if err != nil && !errors.Is(err, wire.ErrNoLink) {
 		c.options.Logger.Warn().Str("event", "send_failed").Str("peer", peer).Err(err).Send()
 	}
+	return err == nil
 }
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -38,6 +38,7 @@
 	lastStatus        time.Duration
 	lastWaitingJobs   time.Duration
 	availabilityDirty bool
+	publisher         *availabilityPublisher
 	waitingJobsSent   bool // the last update had waiting jobs
 
 	startMetrics, stopMetrics, pollMetrics *orderMetrics
@@ -64,6 +65,7 @@
 		stopMetrics:  newOrderMetrics(kindStop),
 		pollMetrics:  newOrderMetrics(kindPoll),
 		gauges:       newStatusGauges(),
+		publisher:    newAvailabilityPublisher(),
 		waiters:      map[chan struct{}]ownershipWait{},
 	}
 }
@@ -96,13 +98,24 @@
 		}
 		last = now
 		for _, event := range events {
-			l.core.Step(now, event)
+			l.step(now, event)
 		}
 		l.stepStoredJobs(now)
 		l.executeEffects(ctx, now)
 	}
 }
 
+// step processes one event.
+func (l *placementLoop) step(now time.Duration, event placement.Event) {
+	switch e := event.(type) {
+	case placement.PeerConnected:
+		l.publisher.forget(e.Peer)
+	case placement.PeerDisconnected:
+		l.publisher.forget(e.Peer)
+	}
+	l.core.Step(now, event)
+}
+
 // stepStoredJobs steps the core with the changes of stored jobs in the log.
 func (l *placementLoop) stepStoredJobs(now time.Duration) {
 	c := l.coordinator
@@ -128,7 +141,7 @@
 	coordinators, gateways := c.coordinators(), c.gateways()
 	l.core.Step(now, placement.ProcessPaused{})
 	for _, name := range coordinators {
-		l.core.Step(now, placement.PeerDisconnected{Peer: name})
+		l.step(now, placement.PeerDisconnected{Peer: name})
 	}
 	for _, name := range gateways {
 		l.core.Step(now, placement.GatewayDisconnected{Gateway: name})
@@ -185,6 +198,8 @@
 		c.recorder.recordGiveUp(&e)
 	case placement.AvailabilityChanged:
 		l.availabilityDirty = true
+	case placement.AvailabilityCorrected:
+		l.publisher.correct(e.Target)
 	case placement.Decision:
 		l.logDecision(&e)
 	}
@@ -198,12 +213,19 @@
 	l.push(response)
 }
 
+// publishAvailability sends the available targets to the other coordinators. One
+// whose send queue is full gets all of them with the next update.
 func (l *placementLoop) publishAvailability() {
-	update := &wire.RoomUpdate{Rooms: availabilityToWire(l.core.AvailableTargets())}
-	l.coordinator.mu.Lock()
-	update.Draining = l.coordinator.draining
-	l.coordinator.mu.Unlock()
-	l.coordinator.broadcast(&wire.Envelope{Body: &wire.Envelope_RoomUpdate{RoomUpdate: update}})
+	c := l.coordinator
+	c.mu.Lock()
+	draining := c.draining
+	c.mu.Unlock()
+	for peer, update := range l.publisher.updates(l.core.AvailableTargets(), draining, c.coordinators()) {
+		if !c.send(peer, &wire.Envelope{Body: &wire.Envelope_RoomUpdate{RoomUpdate: update}}) {
+			l.publisher.forget(peer)
+			l.availabilityDirty = true
+		}
+	}
 }
 
 // publishWaitingJobs sends gateways the numbers of waiting jobs unless all stay 0.
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -21,6 +21,9 @@
 	case *wire.Envelope_Consensus:
 		c.logNode.receive(peer, body.Consensus.GetData())
 	case *wire.Envelope_Submission:
+		c.send(peer, &wire.Envelope{Body: &wire.Envelope_SubmissionReceived{
+			SubmissionReceived: &wire.SubmissionReceived{Ref: body.Submission.GetRef()},
+		}})
 		if body.Submission.GetStored() {
 			go c.handleStoredSubmission(c.runCtx, peer, body.Submission)
 			return
@@ -34,6 +37,7 @@
 	case *wire.Envelope_RoomUpdate:
 		c.loop.push(placement.PeerAvailability{
 			Peer: peer, Draining: body.RoomUpdate.GetDraining(), Targets: availabilityFromWire(body.RoomUpdate.GetRooms()),
+			Partial: body.RoomUpdate.GetPartial(), Removed: body.RoomUpdate.GetRemoved(),
 		})
 	case *wire.Envelope_PlacementRequest:
 		c.loop.push(placement.PlacementsRequested{Peer: peer, Placements: placementsFromWire(body.PlacementRequest)})
--- a/placement/events.go
+++ b/placement/events.go
@@ -40,11 +40,14 @@
 	BootUnixMS int64
 }
 
-// PeerAvailability replaces the available targets of another coordinator.
+// PeerAvailability replaces the available targets of another coordinator, or
+// updates them if Partial is set.
 type PeerAvailability struct {
 	Peer     string
 	Draining bool
 	Targets  []AvailableTarget
+	Partial  bool
+	Removed  []string // targets that are no longer available, if Partial is set
 }
 
 // PeerConnected reports a new link to another coordinator, which has not
@@ -237,6 +240,10 @@
 // AvailabilityChanged reports that the result of AvailableTargets has changed.
 type AvailabilityChanged struct{}
 
+// AvailabilityCorrected reports that another coordinator has a wrong view of the
+// free capacity of a target, which has to be sent again even if it is unchanged.
+type AvailabilityCorrected struct{ Target string }
+
 // Decision is a decision to log.
 type Decision struct {
 	Event  string
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -10,8 +10,38 @@
 }
 
 func (c *Core) peerAvailability(e PeerAvailability) {
-	c.peers[e.Peer] = &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
 	c.scheduleDue = true
+	if !e.Partial {
+		c.peers[e.Peer] = &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
+		return
+	}
+	if p := c.peers[e.Peer]; p != nil { // otherwise all targets follow over a new link
+		p.draining = e.Draining
+		p.update(e.Targets, e.Removed)
+	}
+}
+
+// update applies the changes of a partial update.
+func (p *peer) update(changed []AvailableTarget, removed []string) {
+	positions := make(map[string]int, len(p.targets))
+	for i := range p.targets {
+		positions[p.targets[i].Target] = i
+	}
+	for _, t := range changed {
+		i, known := positions[t.Target]
+		switch {
+		case known && t.Service == "":
+			p.targets[i].Free, p.targets[i].Suspect = t.Free, t.Suspect
+		case known:
+			p.targets[i] = t
+		case t.Service != "":
+			positions[t.Target] = len(p.targets)
+			p.targets = append(p.targets, t)
+		}
+	}
+	if len(removed) > 0 {
+		p.targets = slices.DeleteFunc(p.targets, func(t AvailableTarget) bool { return slices.Contains(removed, t.Target) })
+	}
 }
 
 // peerDisconnected gives up what was placed at a coordinator and what it placed
@@ -51,6 +81,11 @@
 	for i := range e.Placements {
 		p := &e.Placements[i]
 		t := c.targetFor(p)
+		if t == nil || t.ID != p.Target {
+			// The home has taken the task's need off the target that it has chosen.
+			c.emit(AvailabilityCorrected{Target: p.Target})
+			c.availabilityDirty = true
+		}
 		if t == nil {
 			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: "no room"})
 			continue
--- /dev/null
+++ b/placement/lend_test.go
@@ -0,0 +1,48 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
+)
+
+func availableTarget(id string, free int64) placement.AvailableTarget {
+	return placement.AvailableTarget{Target: id, Service: "desk", Free: placement.Resources{CPUMillis: free, MemoryMB: 1000}}
+}
+
+func lentJob(id string) placement.Submit {
+	return placement.Submit{
+		Caller: placement.Caller{Gateway: "g", Ref: uint64(len(id))},
+		Job: placement.Job{
+			ID: id, Service: "desk", MaxAttempts: 2, Stretch: 1.6, Allowance: time.Second,
+			Steps: []placement.Step{{Count: 1, Expected: time.Second, Need: placement.Resources{CPUMillis: 16000}}},
+		},
+	}
+}
+
+var _ = Describe("targets of other coordinators", func() {
+	It("are known from partial updates, which are ignored without a complete one", func() {
+		h := newHarness()
+		h.step(0, placement.PeerAvailability{Peer: "c1", Partial: true, Targets: []placement.AvailableTarget{availableTarget("t", 16000)}})
+		h.step(0, lentJob("1"))
+		Expect(take[placement.RequestPlacements](h)).To(BeEmpty())
+		h.step(0, placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{availableTarget("t", 8000), availableTarget("u", 8000)}})
+		h.step(0, placement.PeerAvailability{Peer: "c1", Partial: true, Removed: []string{"u"}, Targets: []placement.AvailableTarget{
+			{Target: "t", Free: placement.Resources{CPUMillis: 16000, MemoryMB: 1000}},
+		}})
+		Expect(take[placement.RequestPlacements](h)).To(HaveLen(1))
+		Expect(h.core.Status().PeerTargets).To(Equal(1))
+	})
+
+	// Guards against a home that treats a target as full for good: the owner sends
+	// only changes, and a rejected placement changes nothing.
+	It("are sent again to a home whose placement was rejected", func() {
+		h := newHarness()
+		h.step(0, placement.PlacementsRequested{Peer: "c1", Placements: []placement.Placement{{Ref: 1, Task: "j.0.0.0", Run: 1, Service: "desk", Target: "t"}}})
+		Expect(take[placement.AvailabilityCorrected](h)).To(HaveExactElements(placement.AvailabilityCorrected{Target: "t"}))
+		Expect(take[placement.AvailabilityChanged](h)).To(HaveLen(1))
+	})
+})
--- a/placement/types.go
+++ b/placement/types.go
@@ -123,7 +123,7 @@
 // AvailableTarget is a target that may take tasks, with its free capacity.
 type AvailableTarget struct {
 	Target  string
-	Service string
+	Service string // empty in an update: service and labels have not changed
 	Labels  []string
 	Free    Resources
 	Suspect bool // considered last: has failed a run or is slow
