Pass over a coordinator that does not acknowledge jobs or placements

Now a coordinator acknowledges each submission on arrival, and a gateway sends no more jobs to one that has not done so for 100 ms, until its next message. A home does the same with another coordinator that has not answered a placement for 200 ms. Jobs that were sent are not sent again: they may have started. While no coordinator responds, jobs are refused at once as not run, which is true.

Ruled out: a shorter link timeout, which ends every open job of a link on a few lost packets; processor time (0.18 of 0.96 cores at a coordinator).

--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -46,14 +46,27 @@
 	dataCentre string
 	draining   bool
 	waiting    map[string]int64 // jobs without a started task, by queue
+	// acknowledges is set once it has acknowledged a submission; earlier versions
+	// do not.
+	acknowledges bool
+	// unresponsive is set when a submission was not acknowledged in time, until the
+	// next message from the coordinator.
+	unresponsive bool
 }
 
 // pendingJob is a submitted job without an answer yet.
 type pendingJob struct {
 	coordinator string
+	sentAt      time.Time
+	received    bool // acknowledged by the coordinator
 	answer      chan Answer
 }
 
+// receiptTimeout is how long a coordinator may take to acknowledge a submission
+// before further jobs go to others. It is far above a round trip, so that it rarely
+// applies to a busy coordinator, and below linkTimeout.
+const receiptTimeout = 100 * time.Millisecond
+
 // Answer is the outcome of a job for its caller.
 type Answer struct {
 	Outcome     placement.Outcome
@@ -164,7 +177,7 @@
 }
 
 func (g *Gateway) submit(ctx context.Context, job *placement.Job) Answer {
-	answer := Answer{Outcome: placement.NotRun, Reason: "no coordinator is linked", RetryAfter: notRunRetryDelay}
+	answer := Answer{Outcome: placement.NotRun, Reason: "no coordinator responds", RetryAfter: notRunRetryDelay}
 	g.mu.Lock()
 	rejecting := g.rejecting
 	g.mu.Unlock()
@@ -200,15 +213,17 @@
 	}
 }
 
-// submitOrder returns the linked coordinators in the order of submission
-// attempts: those of this data centre first, each group by rendezvous hashing.
+// submitOrder returns the linked coordinators that respond, in the order of
+// submission attempts: those of this data centre first, each group by rendezvous
+// hashing.
 func (g *Gateway) submitOrder() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.markUnresponsive()
 	var local, remote []string
 	for name, c := range g.coordinators {
 		switch {
-		case c.draining:
+		case c.draining, c.unresponsive:
 		case c.dataCentre == g.options.DataCentre:
 			local = append(local, name)
 		default:
@@ -218,8 +233,22 @@
 	return append(sortByWeight(g.options.Name, local), sortByWeight(g.options.Name, remote)...)
 }
 
+// markUnresponsive marks the coordinators that have not acknowledged a submission in
+// time. The caller holds the lock.
+func (g *Gateway) markUnresponsive() {
+	for _, p := range g.pending {
+		c := g.coordinators[p.coordinator]
+		if c == nil || c.unresponsive || !c.acknowledges || p.received || time.Since(p.sentAt) < receiptTimeout {
+			continue
+		}
+		c.unresponsive = true
+		g.options.Logger.Warn().Str("event", "coordinator_unresponsive").Str("peer", p.coordinator).
+			Int64("after_ms", ms(time.Since(p.sentAt))).Send()
+	}
+}
+
 func (g *Gateway) submitTo(ctx context.Context, name string, job *placement.Job) Answer {
-	p := &pendingJob{coordinator: name, answer: make(chan Answer, 1)}
+	p := &pendingJob{coordinator: name, sentAt: time.Now(), answer: make(chan Answer, 1)}
 	g.mu.Lock()
 	g.lastRef++
 	ref := g.lastRef
@@ -250,6 +279,7 @@
 
 // HandleMessage processes a one-way message from a coordinator.
 func (g *Gateway) HandleMessage(hello *wire.Hello, message *wire.Envelope) {
+	g.markResponsive(hello.GetInstance())
 	switch body := message.GetBody().(type) {
 	case *wire.Envelope_Heartbeat:
 		g.mu.Lock()
@@ -267,11 +297,41 @@
 		g.addCoordinators(directoryNames(body.Directory))
 	case *wire.Envelope_DocumentState:
 		g.applyDocument(Document{Version: body.DocumentState.GetVersion(), Body: body.DocumentState.GetBody()})
+	case *wire.Envelope_SubmissionReceived:
+		g.submissionReceived(hello.GetInstance(), body.SubmissionReceived.GetRef())
 	case *wire.Envelope_SubmissionAnswer:
 		g.deliverAnswer(body.SubmissionAnswer)
 	}
 }
 
+// markResponsive records that a coordinator has sent a message. Its pending jobs get
+// the full time for their acknowledgement again.
+func (g *Gateway) markResponsive(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.coordinators[name]
+	if c == nil || !c.unresponsive {
+		return
+	}
+	c.unresponsive = false
+	for _, p := range g.pending {
+		if p.coordinator == name {
+			p.sentAt = time.Now()
+		}
+	}
+}
+
+func (g *Gateway) submissionReceived(name string, ref uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.coordinators[name]; c != nil {
+		c.acknowledges = true
+	}
+	if p := g.pending[ref]; p != nil {
+		p.received = true
+	}
+}
+
 func (g *Gateway) deliverAnswer(message *wire.SubmissionAnswer) {
 	g.mu.Lock()
 	p := g.pending[message.GetRef()]
--- a/cluster/jobstatus.go
+++ b/cluster/jobstatus.go
@@ -62,14 +62,14 @@
 	return JobUnknown, nil
 }
 
-// queryOrder returns the coordinators that may hold a job. A draining one accepts
-// no more jobs, but holds its earlier ones.
+// queryOrder returns the coordinators that may hold a job. A draining or unresponsive
+// one gets no more jobs, but holds its earlier ones.
 func (g *Gateway) queryOrder() []string {
 	names := g.submitOrder()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(g.coordinators)) {
-		if g.coordinators[name].draining {
+		if !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 	}
--- a/placement/core.go
+++ b/placement/core.go
@@ -41,11 +41,13 @@
 	restored        []Description
 	adoptRestoredAt time.Duration
 
-	peers     map[string]*peer // that have sent their available targets
-	linked    map[string]bool
-	reports   map[string][]queuedReport // by peer
-	handOvers map[string][]sentHandOver
-	draining  bool
+	peers  map[string]*peer // that have sent their available targets
+	linked map[string]bool
+	// peerHeardAt is the time of the last message of each linked coordinator.
+	peerHeardAt map[string]time.Duration
+	reports     map[string][]queuedReport // by peer
+	handOvers   map[string][]sentHandOver
+	draining    bool
 
 	logConfirmed    bool          // the log has been read to its end
 	logConfirmedAt  time.Duration // a time before the last such read
@@ -73,6 +75,7 @@
 		placements:    map[uint64]*task{},
 		peers:         map[string]*peer{},
 		linked:        map[string]bool{},
+		peerHeardAt:   map[string]time.Duration{},
 		reports:       map[string][]queuedReport{},
 		handOvers:     map[string][]sentHandOver{},
 	}
@@ -87,7 +90,7 @@
 	}
 	c.now = now
 	if name := sender(event); name != "" {
-		c.linked[name] = true
+		c.peerHeard(name)
 	}
 	switch e := event.(type) {
 	case Tick:
@@ -262,6 +265,7 @@
 	c.expireJobs()
 	c.expireHandOvers()
 	c.expireReports()
+	c.checkPeers()
 	c.scheduleDue = true
 	if c.draining {
 		c.handOverTargets()
--- a/placement/home.go
+++ b/placement/home.go
@@ -40,11 +40,12 @@
 	failures  int
 	runs      int // number of the last run
 	ref       uint64
-	peer      string // coordinator that owns the target; empty: this one
-	token     uint64 // fencing token of that owner; 0: not reported yet
-	target    string // that the last run was on
-	avoid     string // target that the last run failed on
-	mayBeDone bool   // of a stored job: the last run may count as done
+	placedAt  time.Duration // time of the last placement
+	peer      string        // coordinator that owns the target; empty: this one
+	token     uint64        // fencing token of that owner; 0: not reported yet
+	target    string        // that the last run was on
+	avoid     string        // target that the last run failed on
+	mayBeDone bool          // of a stored job: the last run may count as done
 	notBefore time.Duration
 }
 
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -7,6 +7,7 @@
 	name     string
 	draining bool
 	targets  []AvailableTarget // its available targets, less what was placed on them since
+	silent   bool              // has not answered a placement in time; no more until its next message
 }
 
 func (c *Core) peerAvailability(e PeerAvailability) {
@@ -44,12 +45,37 @@
 	}
 }
 
+// checkPeers marks the coordinators that have not answered a placement in time, so
+// that no more tasks go to one that may be down. The link's failure is detected later.
+func (c *Core) checkPeers() {
+	for _, t := range c.placements {
+		if t.peer == "" || t.state != starting || c.now-max(t.placedAt, c.peerHeardAt[t.peer]) < placementTimeout {
+			continue
+		}
+		if p := c.peers[t.peer]; p != nil && !p.silent {
+			p.silent = true
+			c.logDecision(Decision{Event: "peer_silent", Peer: p.name, Age: c.now - t.placedAt})
+		}
+	}
+}
+
+// peerHeard records a message of another coordinator.
+func (c *Core) peerHeard(name string) {
+	c.linked[name] = true
+	c.peerHeardAt[name] = c.now
+	if p := c.peers[name]; p != nil && p.silent {
+		p.silent = false
+		c.scheduleDue = true
+	}
+}
+
 // peerDisconnected gives up what was placed at a coordinator and what it placed
 // here. The peer detects the failure within the link timeout and stops the runs;
 // if it has failed itself, their leases expire.
 func (c *Core) peerDisconnected(name string) {
 	delete(c.peers, name)
 	delete(c.linked, name)
+	delete(c.peerHeardAt, name)
 	c.failHandOvers(name)
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
--- a/placement/lend_test.go
+++ b/placement/lend_test.go
@@ -24,6 +24,23 @@
 }
 
 var _ = Describe("targets of other coordinators", func() {
+	// Pattern: a coordinator freezes or loses power beside a burst. Tasks that are
+	// placed on its targets until its link fails are lost.
+	It("get no more tasks once their owner has not answered a placement in time", func() {
+		h := newHarness()
+		for _, name := range []string{"c1", "c2"} {
+			h.step(0, placement.PeerAvailability{Peer: name, Targets: []placement.AvailableTarget{availableTarget(name+"t", 16000), availableTarget(name+"u", 16000)}})
+		}
+		h.step(0, lentJob("1"))
+		Expect(take[placement.RequestPlacements](h)).To(HaveExactElements(HaveField("Peer", "c1")))
+		h.step(250*time.Millisecond, placement.Tick{})
+		h.step(0, lentJob("22"))
+		Expect(take[placement.RequestPlacements](h)).To(HaveExactElements(HaveField("Peer", "c2")))
+		h.step(0, placement.PeerAvailability{Peer: "c1", Partial: true})
+		h.step(0, lentJob("333"))
+		Expect(take[placement.RequestPlacements](h)).To(HaveExactElements(HaveField("Peer", "c1")))
+	})
+
 	It("are known from partial updates, which are ignored without a complete one", func() {
 		h := newHarness()
 		h.step(0, placement.PeerAvailability{Peer: "c1", Partial: true, Targets: []placement.AvailableTarget{availableTarget("t", 16000)}})
--- a/placement/options.go
+++ b/placement/options.go
@@ -33,6 +33,9 @@
 	// clockRate bounds the clock drift: a target's clock may run 2% slower, plus a
 	// margin of 1%.
 	clockRate = 1.03
+	// placementTimeout is how long another coordinator may take to answer a placement
+	// before it gets no more. It covers the start at the target.
+	placementTimeout = orderTimeout
 	// heartbeatTimeout is how long an idle target gets work after its last
 	// heartbeat: two heartbeat intervals of 1.5 s and the time of a retry.
 	heartbeatTimeout = 4500 * time.Millisecond
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -124,7 +124,7 @@
 		return false
 	}
 	c.lastRef++
-	t.ref, t.runs, t.state = c.lastRef, t.runs+1, starting
+	t.ref, t.runs, t.state, t.placedAt = c.lastRef, t.runs+1, starting, c.now
 	c.placements[t.ref] = t
 	j.inFlight++
 	j.started = true
@@ -165,6 +165,9 @@
 		}
 	}
 	for _, p := range c.peers {
+		if p.silent {
+			continue
+		}
 		for i := range p.targets {
 			remote := &p.targets[i]
 			if remote.Service != j.Service || !matches(remote.Labels, step.Requirement) ||
