--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -49,8 +49,9 @@
 	// acknowledges is set once it has acknowledged a submission; earlier versions
 	// do not.
 	acknowledges bool
-	// unresponsive is set when a submission was not acknowledged in time, until the
-	// next message from the coordinator.
+	heardAt      time.Time // last message from it
+	// unresponsive is set when a submission was not acknowledged in time or the link
+	// is silent, until the next message from the coordinator.
 	unresponsive bool
 }
 
@@ -67,6 +68,10 @@
 // applies to a busy coordinator, and below linkTimeout.
 const receiptTimeout = 100 * time.Millisecond
 
+// silenceTimeout is how long a coordinator may send nothing before further jobs go to
+// others: two heartbeat intervals and some delay.
+const silenceTimeout = 2*linkHeartbeatInterval + 50*time.Millisecond
+
 // Answer is the outcome of a job for its caller.
 type Answer struct {
 	Outcome     placement.Outcome
@@ -234,16 +239,28 @@
 }
 
 // markUnresponsive marks the coordinators that have not acknowledged a submission in
-// time. The caller holds the lock.
+// time, or have sent nothing for silenceTimeout. The caller holds the lock.
 func (g *Gateway) markUnresponsive() {
+	for name, c := range g.coordinators {
+		if silence := time.Since(c.heardAt); silence > silenceTimeout {
+			g.unresponsive(name, c, silence)
+		}
+	}
 	for _, p := range g.pending {
 		c := g.coordinators[p.coordinator]
-		if c == nil || c.unresponsive || !c.acknowledges || p.received || time.Since(p.sentAt) < receiptTimeout {
+		if c == nil || !c.acknowledges || p.received {
 			continue
 		}
+		if delay := time.Since(p.sentAt); delay > receiptTimeout {
+			g.unresponsive(p.coordinator, c, delay)
+		}
+	}
+}
+
+func (g *Gateway) unresponsive(name string, c *linkedCoordinator, after time.Duration) {
+	if !c.unresponsive {
 		c.unresponsive = true
-		g.options.Logger.Warn().Str("event", "coordinator_unresponsive").Str("peer", p.coordinator).
-			Int64("after_ms", ms(time.Since(p.sentAt))).Send()
+		g.options.Logger.Warn().Str("event", "coordinator_unresponsive").Str("peer", name).Int64("after_ms", ms(after)).Send()
 	}
 }
 
@@ -310,7 +327,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.coordinators[name]
-	if c == nil || !c.unresponsive {
+	if c == nil {
+		return
+	}
+	c.heardAt = time.Now()
+	if !c.unresponsive {
 		return
 	}
 	c.unresponsive = false
@@ -378,7 +399,7 @@
 // LinkUp adds a linked coordinator.
 func (g *Gateway) LinkUp(hello *wire.Hello) {
 	g.mu.Lock()
-	g.coordinators[hello.GetInstance()] = &linkedCoordinator{dataCentre: hello.GetDataCentre()}
+	g.coordinators[hello.GetInstance()] = &linkedCoordinator{dataCentre: hello.GetDataCentre(), heardAt: time.Now()}
 	g.mu.Unlock()
 	g.options.Logger.Info().Str("event", "link_up").Str("peer", hello.GetInstance()).Send()
 }
--- a/cluster/gateway_test.go
+++ b/cluster/gateway_test.go
@@ -44,6 +44,13 @@
 		Expect(g.submitOrder()).To(BeEmpty())
 	})
 
+	// Pattern: all coordinators lose power. A gateway that finds out about them one
+	// after the other loses a job or more for each.
+	It("are not sent to one that has sent no heartbeats", func() {
+		g.coordinators["1"].heardAt = time.Now().Add(-2 * silenceTimeout)
+		Expect(g.submitOrder()).To(HaveExactElements("2"))
+	})
+
 	// Guards against an earlier version, which acknowledges nothing, being left out
 	// during an upgrade.
 	It("still go to one that has never acknowledged a submission", func() {
--- a/cluster/ownership_test.go
+++ b/cluster/ownership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -53,8 +54,8 @@
 	// holds it.
 	It("goes to draining coordinators too, after the others", func() {
 		g := NewGateway(GatewayOptions{Name: "10.1.0.9", DataCentre: "z1", Logger: zerolog.New(io.Discard)})
-		g.coordinators["10.1.0.1"] = &linkedCoordinator{dataCentre: "z1", draining: true}
-		g.coordinators["10.2.0.1"] = &linkedCoordinator{dataCentre: "z2"}
+		g.coordinators["10.1.0.1"] = &linkedCoordinator{dataCentre: "z1", draining: true, heardAt: time.Now()}
+		g.coordinators["10.2.0.1"] = &linkedCoordinator{dataCentre: "z2", heardAt: time.Now()}
 		Expect(g.submitOrder()).To(HaveExactElements("10.2.0.1"))
 		Expect(g.queryOrder()).To(HaveExactElements("10.2.0.1", "10.1.0.1"))
 	})
