--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -190,7 +190,7 @@
 	avoidCost     = 100.0 // the task has failed there
 	suspectCost   = 10.0
 	otherRackCost = 2.0 // away from the task's data
-	remoteCost    = 0.5 // owned by another coordinator
+	remoteCost    = 1.0 // owned by another coordinator; more than the fit
 )
 
 // score is lower for better targets. The last part, below 1, prefers targets
