--- a/placement/lend_test.go
+++ b/placement/lend_test.go
@@ -41,6 +41,28 @@
 		Expect(take[placement.RequestPlacements](h)).To(HaveExactElements(HaveField("Peer", "c1")))
 	})
 
+	// Pattern: a data centre is cut off or its coordinator is lost beside normal load.
+	// Tasks that run through another coordinator are lost with the link to it.
+	It("get a task only if none of the own targets has room for it", func() {
+		h := newHarness()
+		h.acquire("own")
+		h.step(0, placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{availableTarget("t", 10000)}})
+		for _, id := range []string{"1", "22"} {
+			job := lentJob(id)
+			job.Job.Steps[0].Need.CPUMillis = 10000 // fits the other target exactly
+			h.step(0, job)
+		}
+		Expect(take[placement.StartOrder](h)).To(HaveLen(2))
+		Expect(take[placement.RequestPlacements](h)).To(BeEmpty())
+		job := lentJob("333")
+		job.Job.Steps[0].Need.CPUMillis = 10000
+		h.step(0, job)
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+		job.Caller.Ref, job.Job.ID = 4, "4444"
+		h.step(0, job)
+		Expect(take[placement.RequestPlacements](h)).To(HaveLen(1))
+	})
+
 	It("are known from partial updates, which are ignored without a complete one", func() {
 		h := newHarness()
 		h.step(0, placement.PeerAvailability{Peer: "c1", Partial: true, Targets: []placement.AvailableTarget{availableTarget("t", 16000)}})
