--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -243,7 +243,7 @@
 func (g *Gateway) markUnresponsive() {
 	for name, c := range g.coordinators {
 		if silence := time.Since(c.heardAt); silence > silenceTimeout {
-			g.unresponsive(name, c, silence)
+			g.passOver(name, c, silence)
 		}
 	}
 	for _, p := range g.pending {
@@ -252,12 +252,14 @@
 			continue
 		}
 		if delay := time.Since(p.sentAt); delay > receiptTimeout {
-			g.unresponsive(p.coordinator, c, delay)
+			g.passOver(p.coordinator, c, delay)
 		}
 	}
 }
 
-func (g *Gateway) unresponsive(name string, c *linkedCoordinator, after time.Duration) {
+// passOver keeps new jobs from a coordinator until its next message. The caller holds
+// the lock.
+func (g *Gateway) passOver(name string, c *linkedCoordinator, after time.Duration) {
 	if !c.unresponsive {
 		c.unresponsive = true
 		g.options.Logger.Warn().Str("event", "coordinator_unresponsive").Str("peer", name).Int64("after_ms", ms(after)).Send()
