Report a replaced link as down before the link that replaces it is up

Cause: if a connection between two coordinators falls silent, each end notices after its own 0.7 to 0.85 s, counted from what it received last, and the end that is first dials again 0.2 s later. If the other end had not noticed by then, register() made the new link the link to the peer, and unregister() of the old one found it replaced and reported nothing. So one end had seen LinkDown and given up everything on the link, and the other end had seen two LinkUp. A home that lost its link places its tasks again after 1.25 s, because the owner of the targets is sure to stop their runs when it loses the link, too; this owner never did, and went on extending the leases. The class of fault: two ends that disagree on whether a session has ended.

Ruled out: that the old link's end is noticed later. Nothing refers to it once it is replaced.

Evidence: the new test saw up, up, up before the change, and sees up, down, up. By reading, a gateway's jobs had the same fault: a coordinator that did not notice the loss kept jobs whose callers had their answer. hawthornd uses the same mesh: dispatch got no PeerLost.

The mesh now takes a link down and tells the handler when it is replaced. A message of the old link that is being read is not delivered after that. The closing of the old session no longer delays the new link.

--- a/wire/handler.go
+++ b/wire/handler.go
@@ -18,7 +18,8 @@
 	HandleMessage(hello *Hello, message *Envelope)
 	// HandleCall returns the reply to a request. An error is sent to the peer as text.
 	HandleCall(ctx context.Context, peerName string, request *Envelope) (*Envelope, error)
-	// LinkUp and LinkDown report changes of the link to a peer.
+	// LinkUp and LinkDown report changes of the link to a peer, in turn: a link that
+	// is replaced by another one is reported as down before that one is up.
 	LinkUp(hello *Hello)
 	LinkDown(peerName string, cause error)
 	// LinkFailed reports an accepted connection that did not become a link, and
--- a/wire/link.go
+++ b/wire/link.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,7 @@
 	sequence      uint64
 	timing        timing
 	closing       atomic.Bool // received messages are dropped
+	delivery      sync.Mutex  // held while the handler processes a message
 }
 
 func yamuxConfig(timeout time.Duration) *yamux.Config {
@@ -146,13 +148,30 @@
 			return fmt.Errorf("read: %w", err)
 		}
 		l.lastReceived.Store(int64(time.Since(l.start)))
-		if l.closing.Load() {
+		if !l.deliver(handler, message) {
 			return errors.New("link closed by this instance")
 		}
-		handler.HandleMessage(l.hello, message)
 	}
 }
 
+// deliver passes a message to the handler unless the link is closing.
+func (l *link) deliver(handler Handler, message *Envelope) bool {
+	l.delivery.Lock()
+	defer l.delivery.Unlock()
+	if l.closing.Load() {
+		return false
+	}
+	handler.HandleMessage(l.hello, message)
+	return true
+}
+
+// stopDelivery returns once the handler gets no more messages of the link.
+func (l *link) stopDelivery() {
+	l.closing.Store(true)
+	l.delivery.Lock()
+	defer l.delivery.Unlock()
+}
+
 // acceptLoop serves the calls of the peer, each in a goroutine of its own.
 func (l *link) acceptLoop(ctx context.Context, handler Handler) error {
 	for {
--- a/wire/mesh.go
+++ b/wire/mesh.go
@@ -62,6 +62,7 @@
 // Mesh keeps one link to each peer.
 type Mesh struct {
 	options   MeshOptions
+	changes   sync.Mutex // held while links change and the handler is told
 	mu        sync.RWMutex
 	links     map[string]*link // by name of the peer
 	dialled   map[string]bool  // peers passed to Dial
@@ -257,12 +258,9 @@
 	if err := m.checkPeerName(peerName, wantName); err != nil {
 		return fmt.Errorf("instance %q: %w", peerName, err)
 	}
-	m.register(peerName, l)
-	m.options.Handler.LinkUp(l.hello)
+	m.bringUp(peerName, l)
 	err = l.run(ctx, m.options.Handler)
-	if m.unregister(peerName, l) {
-		m.options.Handler.LinkDown(peerName, err)
-	}
+	m.takeDown(peerName, l, err)
 	return nil
 }
 
@@ -281,27 +279,40 @@
 	return errors.New("instance is not a configured peer")
 }
 
-// register makes l the link to the peer. An older link is closed: the peer
-// dials again only after it has abandoned the older one.
-func (m *Mesh) register(peerName string, l *link) {
+var errReplaced = errors.New("the peer has dialled again")
+
+// bringUp makes l the link to the peer. An older link is reported as down first, even
+// if its failure has not been detected here: the peer dials again only after it has
+// abandoned the older link, with what was under way on it.
+func (m *Mesh) bringUp(peerName string, l *link) {
+	m.changes.Lock()
+	defer m.changes.Unlock()
 	m.mu.Lock()
 	old := m.links[peerName]
 	m.links[peerName] = l
 	m.mu.Unlock()
 	if old != nil {
-		old.session.Close()
+		old.stopDelivery()
+		go old.session.Close() // Close waits for the goroutines of the session
+		m.options.Handler.LinkDown(peerName, errReplaced)
 	}
+	m.options.Handler.LinkUp(l.hello)
 }
 
-// unregister removes l and reports whether it was still the link to the peer.
-func (m *Mesh) unregister(peerName string, l *link) bool {
+// takeDown removes l unless another link has replaced it.
+func (m *Mesh) takeDown(peerName string, l *link, cause error) {
+	m.changes.Lock()
+	defer m.changes.Unlock()
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.links[peerName] != l {
-		return false
+	current := m.links[peerName] == l
+	if current {
+		delete(m.links, peerName)
+	}
+	m.mu.Unlock()
+	if current {
+		l.stopDelivery()
+		m.options.Handler.LinkDown(peerName, cause)
 	}
-	delete(m.links, peerName)
-	return true
 }
 
 func (m *Mesh) link(peerName string) *link {
--- a/wire/mesh_test.go
+++ b/wire/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 type recorder struct {
 	mu       sync.Mutex
 	linkUps  int
+	changes  []string // of links, in order
 	received []*wire.Envelope
 }
 
@@ -45,9 +47,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.linkUps++
+	r.changes = append(r.changes, "up")
 }
 
-func (r *recorder) LinkDown(string, error) {}
+func (r *recorder) LinkDown(string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changes = append(r.changes, "down")
+}
+
+func (r *recorder) linkChanges() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.changes)
+}
 
 func (r *recorder) LinkFailed(string, error) {}
 
@@ -180,7 +193,9 @@
 	run := func(options wire.MeshOptions) *wire.Mesh {
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		options.Handler = &recorder{}
+		if options.Handler == nil {
+			options.Handler = &recorder{}
+		}
 		options.HeartbeatInterval, options.Timeout = 20*time.Millisecond, 2*time.Second
 		mesh := wire.NewMesh(options)
 		go func() { _ = mesh.Run(ctx) }()
@@ -197,6 +212,19 @@
 		Eventually(func() bool { return small.Linked("b") && large.Linked("a") }, "10s").Should(BeTrue())
 	})
 
+	// Guards against an instance that keeps what it does for a peer, although the
+	// peer has lost the link and dialled again before this end noticed the loss.
+	It("reports a link as down before the link that replaces it is up", func() {
+		listener, changes := listen(), &recorder{}
+		small := run(wire.MeshOptions{Self: &wire.Hello{Instance: "a"}, Listener: listener, AcceptUnknown: true, Handler: changes})
+		peer := wire.Peer{Name: "a", Address: listener.Addr().String()}
+		run(wire.MeshOptions{Self: &wire.Hello{Instance: "b"}}).Dial(peer)
+		Eventually(func() bool { return small.Linked("b") }, "10s").Should(BeTrue())
+		run(wire.MeshOptions{Self: &wire.Hello{Instance: "b"}}).Dial(peer)
+		Eventually(func() int { return len(changes.linkChanges()) }, "10s").Should(BeNumerically(">=", 3))
+		Expect(changes.linkChanges()[:3]).To(Equal([]string{"up", "down", "up"}))
+	})
+
 	// Guards against two instances that replace each other's links forever.
 	It("keeps one link when both instances dial", func() {
 		listenerA, listenerB := listen(), listen()
