Log the boot of a target and how long lost runs may be alive

target_adopted now has its reason and boot, target_dropped and run_ended have safe_after_ms. New events: heartbeat_ignored (a heartbeat of another boot), stop_unanswered (with the remaining lease) and job_removed_early (a job that is not stored is removed while a lost run may be alive). Each is bound to a heartbeat, an order or a job, so the volume stays bounded.

No logic changes. go test ./placement ./cluster ./apps passes.

--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -256,6 +256,12 @@
 			event = event.Str(field[0], field[1])
 		}
 	}
+	if d.BootUnixMS != 0 {
+		event = event.Int64("boot", d.BootUnixMS)
+	}
+	if d.SafeAfter != 0 {
+		event = event.Int64("safe_after_ms", d.SafeAfter.Milliseconds())
+	}
 	event.Int64("age_ms", d.Age.Milliseconds()).Int64("value", d.Value).Send()
 }
 
--- a/placement/events.go
+++ b/placement/events.go
@@ -254,4 +254,8 @@
 	Reason string
 	Age    time.Duration // of the job, run, token or log read
 	Value  int64
+	// BootUnixMS is the boot of the target that the event is about; 0: not reported.
+	BootUnixMS int64
+	// SafeAfter is how long runs may still be alive; 0: they are not.
+	SafeAfter time.Duration
 }
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -171,7 +171,7 @@
 		}
 		c.dropTarget(old, "handed over again", max(old.leaseEnd-c.now, 0))
 	}
-	t := c.adoptTarget(d)
+	t := c.adoptTarget(d, "handed over")
 	t.token, t.tokenAt = c.newToken(e.HandOver.Token), c.now
 	t.lastEndNumber, t.heartbeatAt = e.HandOver.AckedEnd, c.now
 	for _, h := range e.HandOver.Runs {
--- a/placement/home.go
+++ b/placement/home.go
@@ -28,6 +28,8 @@
 	successor   *Submit // a later submission of the ID, admitted after the end
 	epoch       int     // of a stored job: number of moves to other homes
 
+	aliveUntil time.Duration // lost runs may be alive until then
+
 	storedSuccessor *StoredJobChanged // a stored job with the same ID, adopted after the end
 }
 
@@ -226,6 +228,9 @@
 	if !j.ending || j.inFlight > 0 || c.jobs[j.ID] != j {
 		return
 	}
+	if j.aliveUntil > c.now {
+		c.logDecision(Decision{Event: "job_removed_early", Job: j.ID, Age: c.now - j.submittedAt, SafeAfter: j.aliveUntil - c.now})
+	}
 	delete(c.jobs, j.ID)
 	delete(c.callers, j.caller)
 	c.dequeue(j)
@@ -277,6 +282,7 @@
 		c.logDecision(Decision{
 			Event: "run_ended", Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
 			Reason: report.Kind.String() + " " + report.Reason, Age: c.now - j.submittedAt, Value: int64(t.runs),
+			SafeAfter: report.SafeAfter,
 		})
 	}
 	if j.Stored {
@@ -300,6 +306,7 @@
 		}
 	case RunLost:
 		t.notBefore = c.now + report.SafeAfter
+		j.aliveUntil = max(j.aliveUntil, t.notBefore)
 		t.avoid = report.Target
 	case RunRejected, RunStopped:
 		t.avoid = report.Target
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -104,6 +104,10 @@
 	case e.Result == OK:
 		c.pollIfNeeded(t) // the next poll lists the end
 	case t.runs[o.run.key] == o.run && t.state == ready:
+		c.logDecision(Decision{
+			Event: "stop_unanswered", Task: o.run.key.task, Target: t.ID, Age: c.now - o.run.orderedAt,
+			Value: int64(o.run.key.run), SafeAfter: max(t.leaseEnd-c.now, 0),
+		})
 		c.reacquire(t, "stop failed")
 	}
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -106,6 +106,7 @@
 	t := c.targets[d.ID]
 	if t != nil && d.BootUnixMS != t.BootUnixMS && t.BootUnixMS != 0 && d.BootUnixMS != 0 {
 		if d.BootUnixMS < t.BootUnixMS {
+			c.logDecision(Decision{Event: "heartbeat_ignored", Target: t.ID, Reason: "earlier boot", BootUnixMS: d.BootUnixMS})
 			return // a late heartbeat of an earlier boot
 		}
 		c.targetRestarted(t, d)
@@ -118,7 +119,7 @@
 		if c.deregistered[d.ID] >= d.BootUnixMS && d.BootUnixMS != 0 {
 			return
 		}
-		t = c.adoptTarget(d)
+		t = c.adoptTarget(d, "heartbeat")
 	}
 	wasDraining := t.Draining
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
@@ -143,7 +144,7 @@
 		}
 	}
 	c.dropTarget(old, "restarted", 0)
-	t := c.adoptTarget(d)
+	t := c.adoptTarget(d, "restarted")
 	t.heartbeatAt, t.runs = c.now, inFlight
 	for _, r := range inFlight {
 		t.used = t.used.Add(r.need)
@@ -166,7 +167,7 @@
 			continue
 		}
 		d.ClockMS = 0
-		t := c.adoptTarget(d)
+		t := c.adoptTarget(d, "restored")
 		t.heartbeatAt = c.now
 		c.pollIfNeeded(t)
 	}
@@ -175,13 +176,15 @@
 
 // adoptTarget takes a target over. It may hold runs of an earlier owner, so it is
 // polled before it gets any start.
-func (c *Core) adoptTarget(d Description) *target {
+func (c *Core) adoptTarget(d Description, reason string) *target {
 	t := &target{Description: d, runs: map[runKey]*run{}}
 	t.clockMS, t.clockAt = d.ClockMS, c.now
 	t.Draining = d.Draining || c.drainingBoots[d.ID] == d.BootUnixMS && d.BootUnixMS != 0
 	t.token, t.tokenAt = c.newToken(0), c.now
 	c.targets[d.ID] = t
-	c.logDecision(Decision{Event: "target_adopted", Target: t.ID, Value: int64(t.token)})
+	c.logDecision(Decision{
+		Event: "target_adopted", Target: t.ID, Reason: reason, Value: int64(t.token), BootUnixMS: t.BootUnixMS,
+	})
 	return t
 }
 
@@ -226,7 +229,10 @@
 		}
 		c.reportHome(t, r, report)
 	}
-	c.logDecision(Decision{Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs))})
+	c.logDecision(Decision{
+		Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs)),
+		BootUnixMS: t.BootUnixMS, SafeAfter: safeAfter,
+	})
 	c.availabilityChanged()
 }
 
