Simulate disruptions of links, targets and callers

Responses to starts and stops carried the target's boot, which only lists of runs do.

The emulated target has a clock per boot and can list the progress of runs.

--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -23,6 +23,8 @@
 	highestRun      map[string]int // by task: highest run number that ended or was stopped
 	endedAt         map[uint64]time.Duration
 	expiredLeaseEnd time.Duration // end of the last lease that expired
+	clockZero       time.Duration // when this boot's clock was at 0
+	clockRate       float64       // of this boot's clock
 	records         []RunRecord
 	violations      []string
 }
@@ -45,6 +47,8 @@
 	Work func(task string, run int) (time.Duration, bool)
 	// Need returns the resources that a task uses.
 	Need func(task string) placement.Resources
+	// Percent returns the progress to list for a share of a run's work; nil: always 0.
+	Percent func(share float64) int
 	// OnStart is called at the start of each run, OnEndAcked for each end that is
 	// acknowledged before the lease expires. Either may be nil.
 	OnStart    func(now time.Duration, task string)
@@ -58,6 +62,7 @@
 
 type activeRun struct {
 	started time.Duration
+	work    time.Duration
 	endsAt  time.Duration
 	kind    placement.EndKind // at endsAt
 }
@@ -65,7 +70,7 @@
 // NewRunner returns a runner without runs.
 func NewRunner(description placement.Description, options RunnerOptions) *Runner {
 	return &Runner{
-		Description: description, options: options,
+		Description: description, options: options, clockRate: 1,
 		runs: map[runKey]*activeRun{}, highestRun: map[string]int{}, endedAt: map[uint64]time.Duration{},
 	}
 }
@@ -156,17 +161,26 @@
 	return true
 }
 
-func (r *Runner) clockMS(now time.Duration) int64 { return now.Milliseconds() }
+// ClockMS returns the runner's clock at a time.
+func (r *Runner) ClockMS(now time.Duration) int64 {
+	return time.Duration(float64(now-r.clockZero) * r.clockRate).Milliseconds()
+}
+
+// atClock returns the time at which the runner's clock shows a value.
+func (r *Runner) atClock(clockMS int64) time.Duration {
+	return r.clockZero + time.Duration(float64(time.Duration(clockMS)*time.Millisecond)/r.clockRate)
+}
 
+// response returns a response without the boot, which only lists of runs carry.
 func (r *Runner) response(now time.Duration, order uint64, result placement.Result) placement.OrderResponse {
-	return placement.OrderResponse{Order: order, Result: result, ClockMS: r.clockMS(now), BootUnixMS: r.Description.BootUnixMS}
+	return placement.OrderResponse{Order: order, Result: result, ClockMS: r.ClockMS(now)}
 }
 
 func (r *Runner) extendLease(now time.Duration, expiresMS int64) {
 	if r.leaseEnd < now {
 		r.expiredLeaseEnd = r.leaseEnd
 	}
-	expires := min(time.Duration(expiresMS)*time.Millisecond, now+r.options.Lease)
+	expires := min(r.atClock(expiresMS), now+time.Duration(float64(r.options.Lease)/r.clockRate))
 	r.leaseEnd = max(r.leaseEnd, expires)
 }
 
@@ -177,7 +191,7 @@
 	switch {
 	case !r.acceptToken(o.Token):
 		return r.response(now, o.Order, placement.Fenced)
-	case time.Duration(o.ExpiresMS)*time.Millisecond <= now:
+	case o.ExpiresMS <= r.ClockMS(now):
 		return r.response(now, o.Order, placement.LeaseExpired)
 	}
 	r.extendLease(now, o.ExpiresMS)
@@ -189,7 +203,7 @@
 	}
 	r.checkCapacity(o.Task)
 	work, fails := r.options.Work(o.Task, o.Run)
-	run := &activeRun{started: now, endsAt: now + work}
+	run := &activeRun{started: now, work: work, endsAt: now + work}
 	if fails {
 		run.kind = placement.EndFailed
 	}
@@ -235,13 +249,21 @@
 		r.extendLease(now, o.ExpiresMS)
 	}
 	response := r.response(now, o.Order, placement.OK)
+	response.BootUnixMS = r.Description.BootUnixMS
 	for _, key := range r.sortedKeys() {
-		response.Running = append(response.Running, placement.RunningEntry{Task: key.task, Run: key.run})
+		response.Running = append(response.Running, placement.RunningEntry{Task: key.task, Run: key.run, Percent: r.percent(now, r.runs[key])})
 	}
 	response.Ended = slices.Clone(r.unackedEnds)
 	return response
 }
 
+func (r *Runner) percent(now time.Duration, run *activeRun) int {
+	if r.options.Percent == nil || run.work <= 0 {
+		return 0
+	}
+	return r.options.Percent(float64(now-run.started) / float64(run.work))
+}
+
 // Restart emulates a new boot under the same ID: all runs and all state of the
 // previous boot are lost.
 func (r *Runner) Restart(bootUnixMS int64) {
@@ -249,3 +271,10 @@
 	r.token, r.leaseEnd, r.lastEnd, r.unackedEnds, r.expiredLeaseEnd = 0, 0, 0, nil, 0
 	r.runs, r.highestRun = map[runKey]*activeRun{}, map[string]int{}
 }
+
+// Reboot emulates a crash and a new boot under the same ID, whose clock starts anew
+// and runs at a rate.
+func (r *Runner) Reboot(now time.Duration, bootUnixMS int64, clockRate float64) {
+	r.Restart(bootUnixMS)
+	r.clockZero, r.clockRate = now, clockRate
+}
--- /dev/null
+++ b/placement/disruptions_test.go
@@ -0,0 +1,142 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// disruption is a random schedule of faults of the network, of targets and of callers.
+type disruption struct {
+	perSecond    int
+	storedShare  float64
+	longestRun   time.Duration
+	clockSpread  time.Duration
+	injectFaults func(*simulation)
+	seeds        []uint64 // that have failed once, run each time
+}
+
+// repeat runs a function a number of times at an interval.
+func (s *simulation) repeat(count int, interval time.Duration, do func()) {
+	for i := range count {
+		s.after(time.Duration(i)*interval, do)
+	}
+}
+
+// cutTargetsOneWay loses all requests to, or all responses of, some targets.
+func cutTargetsOneWay(s *simulation) {
+	s.repeat(8, 900*time.Millisecond, func() {
+		path := simPath{requestLoss: 1}
+		if s.random.IntN(2) == 0 {
+			path = simPath{responseLoss: 1}
+		}
+		s.impair(s.randomTarget(), path, s.someCoordinators(), 100*time.Millisecond+s.randomTime(4*time.Second))
+	})
+}
+
+// loseMessages makes the paths to a third of the targets lossy.
+func loseMessages(s *simulation) {
+	for _, t := range s.targets {
+		if s.random.IntN(3) == 0 {
+			s.impair(t, simPath{requestLoss: 0.3, responseLoss: 0.3}, s.someCoordinators(), 7*time.Second)
+		}
+	}
+}
+
+// crashTargets crashes targets that return under their IDs.
+func crashTargets(step time.Duration) func(*simulation) {
+	return func(s *simulation) {
+		s.repeat(12, 600*time.Millisecond, func() {
+			s.crash(s.randomTarget(), 50*time.Millisecond+s.randomTime(1500*time.Millisecond), step)
+		})
+	}
+}
+
+// callersReturn breaks the connections of callers again and again.
+func callersReturn(delay time.Duration) func(*simulation) {
+	return func(s *simulation) {
+		s.repeat(25, 300*time.Millisecond, func() { s.breakCallers(0.3, delay) })
+	}
+}
+
+// cutLinksOneWay cuts links between coordinators, one direction first.
+func cutLinksOneWay(s *simulation) {
+	s.repeat(6, 1300*time.Millisecond, func() {
+		s.cutLinkOneWay(s.randomCoordinator(), s.randomCoordinator(), s.randomTime(4*time.Second))
+	})
+}
+
+// loseCoordinators kills and pauses coordinators.
+func loseCoordinators(s *simulation) {
+	s.repeat(3, 2500*time.Millisecond, func() {
+		if c := s.randomCoordinator(); s.random.IntN(2) == 0 && !c.down && !c.paused {
+			s.kill(c, 200*time.Millisecond+s.randomTime(2*time.Second))
+		} else {
+			s.pause(c, 100*time.Millisecond+s.randomTime(2*time.Second))
+		}
+	})
+}
+
+func all(faults ...func(*simulation)) func(*simulation) {
+	return func(s *simulation) {
+		for _, inject := range faults {
+			inject(s)
+		}
+	}
+}
+
+var _ = Describe("disruptions", func() {
+	const promptly = 10 * time.Millisecond
+	// Each guards against tasks that run twice at the same time, targets over their
+	// capacity, second answers, and jobs or runs that are never removed.
+	entries := map[string]disruption{
+		"targets cut off in one direction": {perSecond: 40, injectFaults: cutTargetsOneWay},
+		"targets cut off in one direction, callers return": {
+			perSecond: 40, injectFaults: all(cutTargetsOneWay, callersReturn(promptly)),
+		},
+		"lossy paths to targets": {perSecond: 40, injectFaults: loseMessages},
+		"lossy paths to targets, callers return": {
+			perSecond: 40, longestRun: 3 * time.Second, injectFaults: all(loseMessages, callersReturn(promptly)),
+		},
+		"targets return under their IDs": {perSecond: 40, injectFaults: crashTargets(0)},
+		"targets return under their IDs with an earlier time of day": {
+			perSecond: 40, injectFaults: crashTargets(-5 * time.Second),
+		},
+		"callers return": {perSecond: 40, longestRun: 3 * time.Second, injectFaults: callersReturn(promptly)},
+		"callers return after the link of their gateway has failed": {
+			perSecond: 40, longestRun: 3 * time.Second, injectFaults: callersReturn(750 * time.Millisecond),
+		},
+		"links cut in one direction": {perSecond: 40, longestRun: 2 * time.Second, injectFaults: cutLinksOneWay},
+		"links cut in one direction, coordinators lost, callers return": {
+			perSecond: 40, longestRun: 2 * time.Second, injectFaults: all(cutLinksOneWay, loseCoordinators, callersReturn(promptly)),
+		},
+		"coordinators with clocks apart": {
+			perSecond: 40, clockSpread: 3 * time.Second, injectFaults: all(loseCoordinators, cutLinksOneWay, cutTargetsOneWay),
+		},
+		"all disruptions": {
+			perSecond: 40, longestRun: time.Second, clockSpread: 3 * time.Second,
+			injectFaults: all(cutTargetsOneWay, loseMessages, crashTargets(-2*time.Second), cutLinksOneWay, loseCoordinators),
+		},
+		"stored jobs, targets return under their IDs": {perSecond: 40, storedShare: 0.7, injectFaults: crashTargets(-5 * time.Second)},
+	}
+	for name, entry := range entries {
+		It(name, func() {
+			first, count := seedRange()
+			seeds := entry.seeds
+			for seed := first; seed < first+count; seed++ {
+				seeds = append(seeds, seed)
+			}
+			completed := 0
+			for _, seed := range seeds {
+				s := newSimulation(seed, 3, 12)
+				s.storedShare, s.clockSpread = entry.storedShare, entry.clockSpread
+				s.longestRun, s.progress = max(s.longestRun, entry.longestRun), true
+				runSchedule(s, entry.perSecond, entry.injectFaults)
+				expectInvariants(s, seed)
+				completed += s.completed + s.log.completed
+			}
+			Expect(completed).To(BeNumerically(">", int(count)*25), "jobs completed")
+		})
+	}
+})
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -64,6 +64,9 @@
 	lossRate     float64 // share of orders that get no response and may be carried out late
 	failureRate  float64 // share of runs that fail
 	storedShare  float64 // share of jobs that are stored
+	longestRun   time.Duration
+	progress     bool          // targets list the progress of runs
+	clockSpread  time.Duration // largest error of a coordinator's time of day
 	log          *simLog
 }
 
@@ -74,7 +77,8 @@
 	paused       bool // does nothing now; events are delayed
 	delayed      []placement.Event
 	disconnected map[string]bool
-	incarnation  int // number of its earlier processes
+	unheard      map[string]bool // coordinators that its messages do not reach
+	incarnation  int             // number of its earlier processes
 
 	applied  int             // number of log entries that it has applied
 	table    *jobtable.Table // state after them
@@ -86,6 +90,9 @@
 	home        int // coordinator that gets the heartbeats
 	partitioned bool
 	gone        bool
+	down        bool // has crashed and is not up again yet
+	boots       int
+	paths       map[string]*simPath // impaired ones, by coordinator
 	ready       bool
 	polls       []*pendingPoll
 }
@@ -106,9 +113,10 @@
 		delays:     map[string]time.Duration{},
 		jobs:       map[string]placement.Job{},
 		log:        newSimLog(),
+		longestRun: 420 * time.Millisecond,
 	}
 	for i := range cores {
-		c := &simCoordinator{name: fmt.Sprintf("c%d", i), disconnected: map[string]bool{}}
+		c := &simCoordinator{name: fmt.Sprintf("c%d", i), disconnected: map[string]bool{}, unheard: map[string]bool{}}
 		s.coordinators = append(s.coordinators, c)
 		s.start(c)
 	}
@@ -120,7 +128,7 @@
 
 func (s *simulation) start(c *simCoordinator) {
 	c.core = placement.New(placement.Options{
-		Name: c.name, Home: c.home(), Lease: simLease, StopTime: simStopTime, UnixMS: 1_700_000_000_000 + s.now.Milliseconds(),
+		Name: c.name, Home: c.home(), Lease: simLease, StopTime: simStopTime, UnixMS: 1_700_000_000_000 + s.now.Milliseconds() + s.clockError(),
 	})
 	s.tick(c, c.incarnation)
 	s.startLog(c)
@@ -128,16 +136,17 @@
 
 func (s *simulation) addTarget(i int) {
 	capacity := placement.Resources{CPUMillis: 32000 + 16000*int64(i%3/2), MemoryMB: 1000}
-	t := &simTarget{home: i % len(s.coordinators), ready: true}
+	t := &simTarget{home: i % len(s.coordinators), ready: true, paths: map[string]*simPath{}}
 	t.runner = emulator.NewRunner(placement.Description{
 		ID: fmt.Sprintf("t%d", i), Service: "desk", Address: "a", Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 		Capacity: capacity, BootUnixMS: 1 + int64(i),
 	}, emulator.RunnerOptions{
 		Lease: simLease, StopTime: simStopTime,
 		Work: func(string, int) (time.Duration, bool) {
-			return time.Duration(20+s.random.IntN(400)) * time.Millisecond, s.random.Float64() < s.failureRate
+			return time.Duration(20+s.random.IntN(int(s.longestRun.Milliseconds())-20)) * time.Millisecond, s.random.Float64() < s.failureRate
 		},
-		Need: s.need, OnStart: s.log.OnStart, OnEndAcked: s.log.OnEndAcked,
+		Percent: s.percent,
+		Need:    s.need, OnStart: s.log.OnStart, OnEndAcked: s.log.OnEndAcked,
 	})
 	s.targets = append(s.targets, t)
 	s.after(time.Duration(s.random.IntN(300))*time.Millisecond, func() { s.heartbeat(t) })
@@ -206,8 +215,10 @@
 		c.delayed = append(c.delayed, event)
 		return
 	}
+	s.trace(c, "<-", event)
 	c.core.Step(s.now, event)
 	for _, effect := range c.core.Ready() {
+		s.trace(c, "->", effect)
 		s.effect(c, effect)
 	}
 }
@@ -236,7 +247,7 @@
 	incarnation := from.incarnation
 	s.after(s.linkDelay(from.name, to), func() {
 		peer := s.coordinator(to)
-		if from.incarnation == incarnation && !from.disconnected[to] && !peer.disconnected[from.name] {
+		if from.incarnation == incarnation && !from.disconnected[to] && !peer.disconnected[from.name] && !from.unheard[to] {
 			s.step(peer, event)
 		}
 	})
@@ -334,17 +345,10 @@
 		})
 		return
 	}
-	s.after(s.delay(), func() {
-		if t.partitioned || t.gone {
-			return
-		}
+	s.request(c, t, func() {
 		result := execute(t.runner)
 		s.completePolls(t)
-		s.after(s.delay(), func() {
-			if !t.partitioned {
-				reply(result)
-			}
-		})
+		s.response(c, t, func() { reply(result) })
 	})
 }
 
@@ -358,8 +362,8 @@
 		}
 		incarnation := c.incarnation
 		pending = &pendingPoll{order: e, answer: func(a placement.OrderResponse) {
-			s.after(s.delay(), func() {
-				if !t.partitioned && c.incarnation == incarnation {
+			s.response(c, t, func() {
+				if c.incarnation == incarnation {
 					s.step(c, a)
 				}
 			})
@@ -408,12 +412,13 @@
 		return
 	}
 	defer s.after(heartbeatInterval, func() { s.heartbeat(t) })
-	if t.partitioned {
+	if t.partitioned || t.down {
 		return
 	}
 	d := &t.runner.Description
 	d.Sequence++
-	d.ClockMS = s.now.Milliseconds()
+	d.ClockMS = t.runner.ClockMS(s.now)
+	s.leaveCutCoordinator(t)
 	if s.coordinators[t.home].down {
 		t.home = s.random.IntN(len(s.coordinators))
 		s.after(time.Second, func() { s.deliverHeartbeat(t) })
@@ -423,7 +428,7 @@
 }
 
 func (s *simulation) deliverHeartbeat(t *simTarget) {
-	if !t.gone && !t.partitioned {
+	if !t.gone && !t.partitioned && !t.down {
 		s.step(s.coordinators[t.home], placement.Heartbeat{Description: t.runner.Description})
 	}
 }
@@ -505,96 +510,3 @@
 	slices.SortFunc(callers, func(a, b placement.Caller) int { return int(a.Ref) - int(b.Ref) })
 	return callers
 }
-
-// kill ends a coordinator's process; the next one starts after a delay.
-func (s *simulation) kill(c *simCoordinator, length time.Duration) {
-	c.incarnation++
-	c.down = true
-	s.giveUpJobs(c)
-	for _, other := range s.coordinators {
-		if other != c {
-			s.step(other, placement.PeerDisconnected{Peer: c.name})
-		}
-	}
-	s.after(length, func() {
-		c.down = false
-		s.start(c)
-	})
-}
-
-// killAndRelink ends a coordinator's process; the next one gets its links one
-// after the other.
-func (s *simulation) killAndRelink(c *simCoordinator, length time.Duration) {
-	s.kill(c, length)
-	for i, other := range s.coordinators {
-		if other == c {
-			continue
-		}
-		c.disconnected[other.name], other.disconnected[c.name] = true, true
-		s.after(length+time.Duration(i*300)*time.Millisecond, func() {
-			s.restoreLink(c, other)
-			s.step(c, placement.PeerConnected{Peer: other.name})
-			s.step(other, placement.PeerConnected{Peer: c.name})
-		})
-	}
-}
-
-// pause pauses a coordinator. When it resumes after more than the limit it closes
-// its links, as the others do after the links' timeout.
-func (s *simulation) pause(c *simCoordinator, length time.Duration) {
-	if c.down || c.paused {
-		return
-	}
-	c.paused = true
-	incarnation := c.incarnation
-	closed := false
-	closeLinks := func() {
-		if closed || c.incarnation != incarnation {
-			return
-		}
-		closed = true
-		s.giveUpJobs(c)
-		for _, other := range s.coordinators {
-			if other != c {
-				s.step(other, placement.PeerDisconnected{Peer: c.name})
-			}
-		}
-	}
-	if length > linkTimeout {
-		s.after(linkTimeout, closeLinks)
-	}
-	s.after(length, func() {
-		c.paused = false
-		delayed := c.delayed
-		c.delayed = nil
-		if c.incarnation != incarnation {
-			return
-		}
-		if length > pauseLimit {
-			s.resume(c)
-			delayed = slices.DeleteFunc(delayed, placement.FromPeer)
-			s.after(time.Millisecond, closeLinks)
-		}
-		for _, event := range delayed {
-			s.step(c, event)
-		}
-	})
-}
-
-// pauseLimit is how long a process may be paused before it closes its links.
-const pauseLimit = 500 * time.Millisecond
-
-func (s *simulation) resume(c *simCoordinator) {
-	s.step(c, placement.ProcessPaused{})
-	for _, other := range s.coordinators {
-		if other != c {
-			s.step(c, placement.PeerDisconnected{Peer: other.name})
-		}
-	}
-	s.step(c, placement.GatewayDisconnected{Gateway: "g" + c.name})
-}
-
-func (s *simulation) restoreLink(a, b *simCoordinator) {
-	delete(a.disconnected, b.name)
-	delete(b.disconnected, a.name)
-}
