Keep runs that the next boot of a target may hold until their lease expires

Cause: the response to a start names no boot, only lists of runs do. A target that has crashed and returned before its owner has its next heartbeat accepts starts; the owner counts these runs as confirmed under the earlier boot. The first list of runs then names another boot, and dropTarget reported all confirmed runs as lost and safe at once. Their tasks were started elsewhere while the next boot went on running them. The same holds if the heartbeat of the next boot arrives first (targetRestarted).

A run is now known to be on the boot in use only once that boot has listed it. When the boot is over, listed runs are gone; the others may be alive until the target's lease expires, or move to the next boot's record, as starts without a response already did. The record keeps the lease's end.

Why tests missed it: the emulated target put its boot into each response.

--- a/placement/core.go
+++ b/placement/core.go
@@ -252,7 +252,7 @@
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
 		if c.now-t.heartbeatAt > heartbeatTimeout && len(t.runs) == 0 && t.poll == 0 {
-			c.dropTarget(t, "no heartbeat", 0)
+			c.dropTarget(t, "no heartbeat", bootUncertain)
 			continue
 		}
 		c.checkUnacked(t)
--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -78,6 +78,12 @@
 	})
 }
 
+// loseResponses loses responses of orders, which may be carried out late.
+func loseResponses(s *simulation) {
+	s.lossRate = 0.06
+	s.after(7*time.Second, func() { s.lossRate = 0 })
+}
+
 func all(faults ...func(*simulation)) func(*simulation) {
 	return func(s *simulation) {
 		for _, inject := range faults {
@@ -99,10 +105,15 @@
 		"lossy paths to targets, callers return": {
 			perSecond: 40, longestRun: 3 * time.Second, injectFaults: all(loseMessages, callersReturn(promptly)),
 		},
-		"targets return under their IDs": {perSecond: 40, injectFaults: crashTargets(0)},
+		// 40, and 2 below: the next boot had accepted a start, and its first list of
+		// runs was taken for the end of all runs.
+		"targets return under their IDs": {perSecond: 40, seeds: []uint64{40}, injectFaults: crashTargets(0)},
 		"targets return under their IDs with an earlier time of day": {
 			perSecond: 40, injectFaults: crashTargets(-5 * time.Second),
 		},
+		"targets return under their IDs, orders are late": {
+			perSecond: 40, seeds: []uint64{2}, injectFaults: all(crashTargets(0), loseResponses),
+		},
 		"callers return": {perSecond: 40, longestRun: 3 * time.Second, injectFaults: callersReturn(promptly)},
 		"callers return after the link of their gateway has failed": {
 			perSecond: 40, longestRun: 3 * time.Second, injectFaults: callersReturn(750 * time.Millisecond),
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -169,7 +169,7 @@
 			c.rejectHandOver(e.HandOver)
 			return
 		}
-		c.dropTarget(old, "handed over again", max(old.leaseEnd-c.now, 0))
+		c.dropTarget(old, "handed over again", bootUncertain)
 	}
 	t := c.adoptTarget(d, "handed over")
 	t.token, t.tokenAt = c.newToken(e.HandOver.Token), c.now
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -39,7 +39,7 @@
 		return
 	}
 	if e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS || e.Result == OtherBoot {
-		c.dropTarget(t, "response from another boot", 0)
+		c.dropTarget(t, "response from another boot", bootOver)
 		return
 	}
 	if e.Result != Unknown {
@@ -123,7 +123,7 @@
 		c.reacquire(t, "token too low")
 		return
 	}
-	c.dropTarget(t, "fenced", max(t.leaseEnd-c.now, 0))
+	c.dropTarget(t, "fenced", bootUncertain)
 }
 
 func (c *Core) pollResponse(t *target, o *order, e OrderResponse) {
@@ -149,7 +149,7 @@
 		c.reacquire(t, "no response to a poll")
 		return
 	}
-	c.dropTarget(t, "silent", max(t.leaseEnd-c.now, 0))
+	c.dropTarget(t, "silent", bootUncertain)
 }
 
 // pollSucceeded processes the running and ended runs in a poll response.
@@ -205,6 +205,7 @@
 	if r.unknown && !r.stopSent {
 		c.stopRun(t, r)
 	}
+	r.listed = true
 	c.confirmRun(t, r)
 	c.checkProgress(t, r, entry.Percent)
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -30,6 +30,7 @@
 	percent     int           // of its work, as last reported by the target
 	progressAt  time.Duration // when percent last changed
 	confirmed   bool          // the target has reported the run
+	listed      bool          // the boot in use has listed the run; a start's response names no boot
 	confirmedAt time.Duration // when it was confirmed
 	stored      bool          // its end has to be in the log before it is acknowledged
 	stopping    bool
@@ -132,20 +133,20 @@
 	c.pollIfNeeded(t)
 }
 
-// targetRestarted replaces a target by its next boot. The runs of the earlier one
-// are gone; a start that is still in flight may be carried out by the new boot,
-// so it keeps its capacity until a poll under a newer token.
+// targetRestarted replaces a target by its next boot. The runs that the earlier one
+// has listed are gone; a start may be or have been carried out by the new boot, so
+// it keeps its capacity until a poll under a newer token.
 func (c *Core) targetRestarted(old *target, d Description) {
 	inFlight := map[runKey]*run{}
 	for key, r := range old.runs {
-		if !r.confirmed {
+		if !r.listed {
 			inFlight[key] = r
 			delete(old.runs, key)
 		}
 	}
-	c.dropTarget(old, "restarted", 0)
+	c.dropTarget(old, "restarted", bootOver)
 	t := c.adoptTarget(d, "restarted")
-	t.heartbeatAt, t.runs = c.now, inFlight
+	t.heartbeatAt, t.runs, t.leaseEnd = c.now, inFlight, old.leaseEnd
 	for _, r := range inFlight {
 		t.used = t.used.Add(r.need)
 	}
@@ -206,7 +207,7 @@
 	if t.BootUnixMS != 0 {
 		c.deregistered[t.ID] = t.BootUnixMS
 	}
-	c.dropTarget(t, "deregistered", 0)
+	c.dropTarget(t, "deregistered", bootOver)
 }
 
 func (c *Core) targetDraining(e TargetDraining) {
@@ -218,15 +219,22 @@
 	}
 }
 
-// dropTarget removes a target. Its runs may be alive for up to safeAfter.
-func (c *Core) dropTarget(t *target, reason string, safeAfter time.Duration) {
+// targetFate is what is known of the runs of a target that is dropped.
+type targetFate int
+
+const (
+	bootUncertain targetFate = iota // they may be alive until the lease expires
+	bootOver                        // those that the boot has listed are gone
+)
+
+// dropTarget removes a target and reports its runs as lost.
+func (c *Core) dropTarget(t *target, reason string, fate targetFate) {
 	delete(c.targets, t.ID)
 	c.dropOrders(t)
+	var safeAfter time.Duration
 	for _, r := range sortedRuns(t) {
-		report := Report{Ref: r.ref, Kind: RunLost, Target: t.ID, SafeAfter: safeAfter, Reason: reason}
-		if !r.confirmed {
-			report.SafeAfter = max(safeAfter, c.options.Lease+orderTimeout) // the start may still arrive
-		}
+		report := Report{Ref: r.ref, Kind: RunLost, Target: t.ID, SafeAfter: c.aliveFor(t, r, fate), Reason: reason}
+		safeAfter = max(safeAfter, report.SafeAfter)
 		c.reportHome(t, r, report)
 	}
 	c.logDecision(Decision{
@@ -236,6 +244,18 @@
 	c.availabilityChanged()
 }
 
+// aliveFor returns how long a run of a dropped target may be alive.
+func (c *Core) aliveFor(t *target, r *run, fate targetFate) time.Duration {
+	leaseLeft := max(t.leaseEnd-c.now, 0)
+	switch {
+	case fate == bootOver && r.listed:
+		return 0
+	case !r.confirmed:
+		return max(leaseLeft, c.options.Lease+orderTimeout) // the start may still arrive
+	}
+	return leaseLeft
+}
+
 func (c *Core) dropOrders(t *target) {
 	for id, o := range c.orders {
 		if o.target == t {
