Keep the runs of a target that deregisters until their lease expires

A target that deregisters ends once it has the response, or some seconds later if the response is lost. Its owner took its runs for gone with the request, and started their tasks elsewhere at once: for the time of the response, or for as long as the lease runs if the response is lost (cut or lossy links to targets), a task could run twice at the same time.

The runs are now lost with the remaining lease as the time for which they may be alive, as those of a target that is silent.

The unit test fails on the code before with a start while "the first run may be alive", and passes with this change.

--- a/placement/boots_test.go
+++ b/placement/boots_test.go
@@ -42,3 +42,19 @@
 		expectStartAfterLease(h, 150*time.Millisecond)
 	})
 })
+
+var _ = Describe("a target that deregisters", func() {
+	// Guards against a task that runs twice: the response to the deregistration was
+	// lost, and the target went on with its run for some seconds.
+	It("keeps its runs until the lease expires", func() {
+		h := newHarness()
+		start := startUnlisted(h)
+		poll := lastPoll(h, start.Target.ID)
+		h.step(time.Millisecond, placement.OrderResponse{
+			Order: poll.Order, Result: placement.OK, ClockMS: 1101, BootUnixMS: 7,
+			Running: []placement.RunningEntry{{Task: start.Task, Run: 1, Percent: 20}},
+		})
+		h.step(50*time.Millisecond, placement.TargetDeregistered{Target: start.Target.ID, BootUnixMS: 7})
+		expectStartAfterLease(h, 150*time.Millisecond)
+	})
+})
--- a/placement/target.go
+++ b/placement/target.go
@@ -198,7 +198,8 @@
 	return max(token, above+1)
 }
 
-// targetDeregistered processes the shutdown of a target.
+// targetDeregistered processes the shutdown of a target. It ends after the response,
+// or some seconds later if that is lost.
 func (c *Core) targetDeregistered(e TargetDeregistered) {
 	t := c.targets[e.Target]
 	if t == nil || e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS {
@@ -207,7 +208,7 @@
 	if t.BootUnixMS != 0 {
 		c.deregistered[t.ID] = t.BootUnixMS
 	}
-	c.dropTarget(t, "deregistered", bootOver)
+	c.dropTarget(t, "deregistered", bootUncertain)
 }
 
 func (c *Core) targetDraining(e TargetDraining) {
