Base leases on a lower bound of the target's clock

The end of a lease is a time on the target's clock, which is known from its last response and may run 2% slow. Between responses it was taken to run at full speed, so a lease for a target that had been idle for a minute lay 1.2 s too far ahead. A start that is carried out late then runs for longer than longestLease after its order, which the waits of homes assume (link lost, a late hand-over, takeOverDelay of stored jobs).

The estimate is now a lower bound: it runs at the slowest rate, a response that was overtaken does not set it back, and heartbeats renew it. No lease outlasts longestLease after its order. It is at most 45 ms shorter than before for a target that is idle between two heartbeats.

--- a/placement/boots_test.go
+++ b/placement/boots_test.go
@@ -101,3 +101,23 @@
 		expectStartAfterLease(h, 150*time.Millisecond)
 	})
 })
+
+var _ = Describe("the lease of a target", func() {
+	// Guards against a lease that outlasts the wait of a home: the clock of an idle
+	// target was taken to run at full speed since its last response.
+	It("ends in time on a slow clock, however late its order is carried out", func() {
+		h := newHarness()
+		h.acquire("t")
+		clock := int64(1000)
+		for i := range 40 {
+			beat := description("t", uint64(2+i))
+			clock += 1470 // of 1500 ms
+			beat.ClockMS = clock
+			h.step(1500*time.Millisecond, placement.Heartbeat{Description: beat})
+		}
+		h.submit("0000000000000001", 1, 1)
+		start := take[placement.StartOrder](h)[0]
+		Expect(start.ExpiresMS).To(BeNumerically("<=", clock+1000))
+		Expect(start.ExpiresMS).To(BeNumerically(">", clock+900), "the lease is too short to be of use")
+	})
+})
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -73,9 +73,7 @@
 }
 
 // longestLease is the longest lease by this machine's clock.
-func (c *Core) longestLease() time.Duration {
-	return time.Duration(float64(c.options.Lease) * clockRate)
-}
+func (c *Core) longestLease() time.Duration { return onSlowClock(c.options.Lease) }
 
 // homeLeaseValid reports whether no other coordinator can be the home of the
 // stored jobs here.
--- a/placement/target.go
+++ b/placement/target.go
@@ -48,7 +48,7 @@
 	tokenAt        time.Duration // when the token was chosen
 	lastEndNumber  uint64        // of the highest end processed
 	ackedEndNumber uint64        // of the highest end acknowledged by a successful poll
-	clockMS        int64         // target's clock at clockAt, not ahead of it
+	clockMS        int64         // lower bound of the target's clock at clockAt
 	clockAt        time.Duration
 	leaseEnd       time.Duration // every run has ended by then unless an order extends the lease
 	runs           map[runKey]*run
@@ -67,26 +67,30 @@
 
 func (t *target) free() Resources { return t.Capacity.Sub(t.used) }
 
+// clock returns a lower bound of the target's clock, which may run slow.
 func (t *target) clock(now time.Duration) int64 {
-	return t.clockMS + (now - t.clockAt).Milliseconds()
+	return t.clockMS + int64(float64((now-t.clockAt).Milliseconds())/clockRate)
 }
 
-// setClock records the target's clock from a response.
+// setClock records the target's clock from a response or a heartbeat. One that was
+// overtaken shows an earlier time, which bounds the clock less closely.
 func (t *target) setClock(now time.Duration, clockMS int64) {
-	if clockMS > 0 {
+	if clockMS > t.clock(now) {
 		t.clockMS, t.clockAt = clockMS, now
 	}
 }
 
 // extendLease returns the end of a new lease on the target's clock, and records
-// by when it has expired on this machine's.
+// by when it has expired on this machine's. Because it is based on a lower bound of
+// the target's clock, no lease ends later, however late its order is carried out.
 func (t *target) extendLease(now, lease time.Duration) int64 {
-	expires := t.clock(now) + lease.Milliseconds()
-	left := time.Duration(float64(expires-t.clockMS)*clockRate) * time.Millisecond
-	t.leaseEnd = max(t.leaseEnd, t.clockAt+left)
-	return expires
+	t.leaseEnd = max(t.leaseEnd, now+onSlowClock(lease))
+	return t.clock(now) + lease.Milliseconds()
 }
 
+// onSlowClock returns how long a time on a target's clock takes at most.
+func onSlowClock(d time.Duration) time.Duration { return time.Duration(float64(d) * clockRate) }
+
 // usable reports whether the target may get starts.
 func (t *target) usable(now time.Duration) bool {
 	return t.state == ready && !t.Draining && t.failedPolls == 0 && !t.leaseWithheld() &&
@@ -125,6 +129,7 @@
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
+	t.setClock(c.now, d.ClockMS)
 	if t.Draining != wasDraining {
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID})
 		c.availabilityChanged()
