--- /dev/null
+++ b/placement/boots_test.go
@@ -0,0 +1,123 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
+)
+
+// startUnlisted starts one task on a target of two whose response names no boot.
+func startUnlisted(h *harness) placement.StartOrder {
+	h.acquire("t")
+	h.acquire("u")
+	h.submit("0000000000000001", 1, 1)
+	start := take[placement.StartOrder](h)[0]
+	take[placement.PollOrder](h)
+	h.step(time.Millisecond, placement.OrderResponse{Order: start.Order, Result: placement.OK, ClockMS: 1100})
+	return start
+}
+
+// startListed starts one task on a target of two, which then lists its run.
+func startListed(h *harness) placement.StartOrder {
+	start := startUnlisted(h)
+	poll := lastPoll(h, start.Target.ID)
+	h.step(time.Millisecond, placement.OrderResponse{
+		Order: poll.Order, Result: placement.OK, ClockMS: 1101, BootUnixMS: 7,
+		Running: []placement.RunningEntry{{Task: start.Task, Run: 1, Percent: 20}},
+	})
+	return start
+}
+
+// expectStartAfterLease expects that the task starts again once its lease has expired.
+func expectStartAfterLease(h *harness, within time.Duration) {
+	h.step(900*time.Millisecond, placement.Tick{})
+	ExpectWithOffset(1, take[placement.StartOrder](h)).To(BeEmpty(), "the first run may be alive")
+	h.step(within, placement.Tick{})
+	ExpectWithOffset(1, take[placement.StartOrder](h)).To(HaveLen(1))
+}
+
+var _ = Describe("a target that returns under its ID", func() {
+	// Guards against a task that runs twice: its run had started on the next boot,
+	// whose first list of runs was taken for the end of all runs.
+	It("keeps the run that its next boot has accepted until the lease expires", func() {
+		h := newHarness()
+		start := startUnlisted(h)
+		poll := lastPoll(h, start.Target.ID)
+		h.step(50*time.Millisecond, placement.OrderResponse{
+			Order: poll.Order, Result: placement.OK, ClockMS: 1150, BootUnixMS: 9,
+			Running: []placement.RunningEntry{{Task: start.Task, Run: 1, Percent: 20}},
+		})
+		expectStartAfterLease(h, 150*time.Millisecond)
+	})
+
+	// Guards against a task that runs twice: a late heartbeat of an earlier boot, with
+	// a higher time of boot, was taken for the next one, and all runs for ended.
+	It("keeps its runs when a heartbeat of an earlier boot arrives late", func() {
+		h := newHarness()
+		startListed(h)
+		take[placement.PollOrder](h)
+		late := description("t", 99)
+		late.BootUnixMS = 1000
+		h.step(time.Millisecond, placement.Heartbeat{Description: late})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		poll := lastPoll(h, "t")
+		Expect(poll.ExpiresMS).To(BeZero(), "the lease of another boot must not be extended")
+		Expect(poll.AckedEnd).To(BeZero(), "ends of another boot must not be acknowledged")
+		h.step(time.Millisecond, placement.OrderResponse{Order: poll.Order, Result: placement.OK, ClockMS: 1200, BootUnixMS: 7})
+		h.step(time.Millisecond, placement.Heartbeat{Description: late})
+		Expect(take[placement.PollOrder](h)).To(BeEmpty(), "that boot is known to be over")
+		h.submit("0000000000000002", 1, 2)
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1), "the target was dropped")
+	})
+
+	// Guards against a target that stays unused because its time of day has stepped
+	// back, so that its next boot seems to be an earlier one.
+	It("is taken over with an earlier time of boot", func() {
+		h := newHarness()
+		h.acquire("t")
+		next := description("t", 1)
+		next.BootUnixMS, next.ClockMS = 3, 10
+		h.step(time.Millisecond, placement.Heartbeat{Description: next})
+		poll := lastPoll(h, "t")
+		h.step(time.Millisecond, placement.OrderResponse{Order: poll.Order, Result: placement.OK, ClockMS: 11, BootUnixMS: 3})
+		poll = lastPoll(h, "t")
+		h.step(time.Millisecond, placement.OrderResponse{Order: poll.Order, Result: placement.OK, ClockMS: 12, BootUnixMS: 3})
+		Expect(h.core.Owned()).To(ContainElement(HaveField("BootUnixMS", int64(3))))
+		h.submit("0000000000000001", 1, 1)
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("a target that deregisters", func() {
+	// Guards against a task that runs twice: the response to the deregistration was
+	// lost, and the target went on with its run for some seconds.
+	It("keeps its runs until the lease expires", func() {
+		h := newHarness()
+		start := startListed(h)
+		h.step(50*time.Millisecond, placement.TargetDeregistered{Target: start.Target.ID, BootUnixMS: 7})
+		expectStartAfterLease(h, 150*time.Millisecond)
+	})
+})
+
+var _ = Describe("the lease of a target", func() {
+	// Guards against a lease that outlasts the wait of a home: the clock of an idle
+	// target was taken to run at full speed since its last response.
+	It("ends in time on a slow clock, however late its order is carried out", func() {
+		h := newHarness()
+		h.acquire("t")
+		clock := int64(1000)
+		for i := range 40 {
+			beat := description("t", uint64(2+i))
+			clock += 1470 // of 1500 ms
+			beat.ClockMS = clock
+			h.step(1500*time.Millisecond, placement.Heartbeat{Description: beat})
+		}
+		h.submit("0000000000000001", 1, 1)
+		start := take[placement.StartOrder](h)[0]
+		Expect(start.ExpiresMS).To(BeNumerically("<=", clock+1000))
+		Expect(start.ExpiresMS).To(BeNumerically(">", clock+900), "the lease is too short to be of use")
+	})
+})
--- a/placement/core.go
+++ b/placement/core.go
@@ -25,7 +25,7 @@
 	started    bool
 
 	targets       map[string]*target
-	deregistered  map[string]int64 // boots that have deregistered, by target
+	endedBoots    bootSet          // boots that are known to be over
 	drainingBoots map[string]int64 // boots that peers have reported as draining, by target
 	tokenOffset   uint64
 
@@ -66,7 +66,6 @@
 	return &Core{
 		options:       options,
 		targets:       map[string]*target{},
-		deregistered:  map[string]int64{},
 		drainingBoots: map[string]int64{},
 		tokenOffset:   uint64(hash.Sum32() % (1 << tokenShift)),
 		orders:        map[uint64]*order{},
@@ -252,7 +251,7 @@
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
 		if c.now-t.heartbeatAt > heartbeatTimeout && len(t.runs) == 0 && t.poll == 0 {
-			c.dropTarget(t, "no heartbeat", 0)
+			c.dropTarget(t, "no heartbeat", bootUncertain)
 			continue
 		}
 		c.checkUnacked(t)
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -63,7 +63,7 @@
 // hasOrders reports whether a start or a stop at a target is pending.
 func (c *Core) hasOrders(t *target) bool {
 	for _, o := range c.orders {
-		if o.target == t && o.kind != pollOrder {
+		if o.target == t && (o.kind == startOrder || o.kind == stopOrder) {
 			return true
 		}
 	}
@@ -169,9 +169,9 @@
 			c.rejectHandOver(e.HandOver)
 			return
 		}
-		c.dropTarget(old, "handed over again", max(old.leaseEnd-c.now, 0))
+		c.dropTarget(old, "handed over again", bootUncertain)
 	}
-	t := c.adoptTarget(d)
+	t := c.adoptTarget(d, "handed over")
 	t.token, t.tokenAt = c.newToken(e.HandOver.Token), c.now
 	t.lastEndNumber, t.heartbeatAt = e.HandOver.AckedEnd, c.now
 	for _, h := range e.HandOver.Runs {
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -8,6 +8,7 @@
 	startOrder orderKind = iota
 	stopOrder
 	pollOrder
+	bootPollOrder // to find out which boot responds
 )
 
 // order is a start, stop or poll request that a target has not answered yet.
@@ -35,11 +36,14 @@
 	}
 	delete(c.orders, e.Order)
 	t := o.target
+	if t.bootPoll == e.Order {
+		t.bootPoll = 0
+	}
 	if c.targets[t.ID] != t {
 		return
 	}
 	if e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS || e.Result == OtherBoot {
-		c.dropTarget(t, "response from another boot", 0)
+		c.otherBootResponded(t, e.BootUnixMS)
 		return
 	}
 	if e.Result != Unknown {
@@ -52,6 +56,8 @@
 		c.stopResponse(t, o, e)
 	case pollOrder:
 		c.pollResponse(t, o, e)
+	case bootPollOrder:
+		c.bootPollResponse(t, o, e)
 	}
 }
 
@@ -104,6 +110,10 @@
 	case e.Result == OK:
 		c.pollIfNeeded(t) // the next poll lists the end
 	case t.runs[o.run.key] == o.run && t.state == ready:
+		c.logDecision(Decision{
+			Event: "stop_unanswered", Task: o.run.key.task, Target: t.ID, Age: c.now - o.run.orderedAt,
+			Value: int64(o.run.key.run), SafeAfter: max(t.leaseEnd-c.now, 0),
+		})
 		c.reacquire(t, "stop failed")
 	}
 }
@@ -119,7 +129,7 @@
 		c.reacquire(t, "token too low")
 		return
 	}
-	c.dropTarget(t, "fenced", max(t.leaseEnd-c.now, 0))
+	c.dropTarget(t, "fenced", bootUncertain)
 }
 
 func (c *Core) pollResponse(t *target, o *order, e OrderResponse) {
@@ -145,7 +155,7 @@
 		c.reacquire(t, "no response to a poll")
 		return
 	}
-	c.dropTarget(t, "silent", max(t.leaseEnd-c.now, 0))
+	c.dropTarget(t, "silent", bootUncertain)
 }
 
 // pollSucceeded processes the running and ended runs in a poll response.
@@ -201,6 +211,7 @@
 	if r.unknown && !r.stopSent {
 		c.stopRun(t, r)
 	}
+	r.listed = true
 	c.confirmRun(t, r)
 	c.checkProgress(t, r, entry.Percent)
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -30,6 +30,7 @@
 	percent     int           // of its work, as last reported by the target
 	progressAt  time.Duration // when percent last changed
 	confirmed   bool          // the target has reported the run
+	listed      bool          // the boot in use has listed the run; a start's response names no boot
 	confirmedAt time.Duration // when it was confirmed
 	stored      bool          // its end has to be in the log before it is acknowledged
 	stopping    bool
@@ -47,7 +48,7 @@
 	tokenAt        time.Duration // when the token was chosen
 	lastEndNumber  uint64        // of the highest end processed
 	ackedEndNumber uint64        // of the highest end acknowledged by a successful poll
-	clockMS        int64         // target's clock at clockAt, not ahead of it
+	clockMS        int64         // lower bound of the target's clock at clockAt
 	clockAt        time.Duration
 	leaseEnd       time.Duration // every run has ended by then unless an order extends the lease
 	runs           map[runKey]*run
@@ -56,6 +57,8 @@
 	poll           uint64                 // order of the outstanding poll; 0: none
 	polledAt       time.Duration          // when the last poll completed
 	failedPolls    int                    // failed polls in a row
+	otherBoot      *Description           // last heartbeat of another boot that may be the later one
+	bootPoll       uint64                 // outstanding poll of that boot; 0: none
 	owned          bool                   // has been ready under this coordinator
 	health         health
 }
@@ -64,26 +67,30 @@
 
 func (t *target) free() Resources { return t.Capacity.Sub(t.used) }
 
+// clock returns a lower bound of the target's clock, which may run slow.
 func (t *target) clock(now time.Duration) int64 {
-	return t.clockMS + (now - t.clockAt).Milliseconds()
+	return t.clockMS + int64(float64((now-t.clockAt).Milliseconds())/clockRate)
 }
 
-// setClock records the target's clock from a response.
+// setClock records the target's clock from a response or a heartbeat. One that was
+// overtaken shows an earlier time, which bounds the clock less closely.
 func (t *target) setClock(now time.Duration, clockMS int64) {
-	if clockMS > 0 {
+	if clockMS > t.clock(now) {
 		t.clockMS, t.clockAt = clockMS, now
 	}
 }
 
 // extendLease returns the end of a new lease on the target's clock, and records
-// by when it has expired on this machine's.
+// by when it has expired on this machine's. Because it is based on a lower bound of
+// the target's clock, no lease ends later, however late its order is carried out.
 func (t *target) extendLease(now, lease time.Duration) int64 {
-	expires := t.clock(now) + lease.Milliseconds()
-	left := time.Duration(float64(expires-t.clockMS)*clockRate) * time.Millisecond
-	t.leaseEnd = max(t.leaseEnd, t.clockAt+left)
-	return expires
+	t.leaseEnd = max(t.leaseEnd, now+onSlowClock(lease))
+	return t.clock(now) + lease.Milliseconds()
 }
 
+// onSlowClock returns how long a time on a target's clock takes at most.
+func onSlowClock(d time.Duration) time.Duration { return time.Duration(float64(d) * clockRate) }
+
 // usable reports whether the target may get starts.
 func (t *target) usable(now time.Duration) bool {
 	return t.state == ready && !t.Draining && t.failedPolls == 0 && !t.leaseWithheld() &&
@@ -103,27 +110,26 @@
 // heartbeat processes a heartbeat.
 func (c *Core) heartbeat(e Heartbeat) {
 	d := e.Description
+	if c.endedBoots.has(d.ID, d.BootUnixMS) {
+		c.logDecision(Decision{Event: "heartbeat_ignored", Target: d.ID, Reason: "earlier boot", BootUnixMS: d.BootUnixMS})
+		return
+	}
 	t := c.targets[d.ID]
 	if t != nil && d.BootUnixMS != t.BootUnixMS && t.BootUnixMS != 0 && d.BootUnixMS != 0 {
-		if d.BootUnixMS < t.BootUnixMS {
-			return // a late heartbeat of an earlier boot
-		}
-		c.targetRestarted(t, d)
+		c.heartbeatOfOtherBoot(t, d)
 		return
 	}
 	if t != nil && d.Sequence <= t.Sequence {
 		return
 	}
 	if t == nil {
-		if c.deregistered[d.ID] >= d.BootUnixMS && d.BootUnixMS != 0 {
-			return
-		}
-		t = c.adoptTarget(d)
+		t = c.adoptTarget(d, "heartbeat")
 	}
 	wasDraining := t.Draining
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
+	t.setClock(c.now, d.ClockMS)
 	if t.Draining != wasDraining {
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID})
 		c.availabilityChanged()
@@ -131,20 +137,21 @@
 	c.pollIfNeeded(t)
 }
 
-// targetRestarted replaces a target by its next boot. The runs of the earlier one
-// are gone; a start that is still in flight may be carried out by the new boot,
-// so it keeps its capacity until a poll under a newer token.
+// targetRestarted replaces a target by its next boot. The runs that the earlier one
+// has listed are gone; a start may be or have been carried out by the new boot, so
+// it keeps its capacity until a poll under a newer token.
 func (c *Core) targetRestarted(old *target, d Description) {
 	inFlight := map[runKey]*run{}
 	for key, r := range old.runs {
-		if !r.confirmed {
+		if !r.listed {
 			inFlight[key] = r
 			delete(old.runs, key)
 		}
 	}
-	c.dropTarget(old, "restarted", 0)
-	t := c.adoptTarget(d)
-	t.heartbeatAt, t.runs = c.now, inFlight
+	c.endedBoots.add(old.ID, old.BootUnixMS)
+	c.dropTarget(old, "restarted", bootOver)
+	t := c.adoptTarget(d, "restarted")
+	t.heartbeatAt, t.runs, t.leaseEnd = c.now, inFlight, old.leaseEnd
 	for _, r := range inFlight {
 		t.used = t.used.Add(r.need)
 	}
@@ -166,7 +173,7 @@
 			continue
 		}
 		d.ClockMS = 0
-		t := c.adoptTarget(d)
+		t := c.adoptTarget(d, "restored")
 		t.heartbeatAt = c.now
 		c.pollIfNeeded(t)
 	}
@@ -175,13 +182,15 @@
 
 // adoptTarget takes a target over. It may hold runs of an earlier owner, so it is
 // polled before it gets any start.
-func (c *Core) adoptTarget(d Description) *target {
+func (c *Core) adoptTarget(d Description, reason string) *target {
 	t := &target{Description: d, runs: map[runKey]*run{}}
 	t.clockMS, t.clockAt = d.ClockMS, c.now
 	t.Draining = d.Draining || c.drainingBoots[d.ID] == d.BootUnixMS && d.BootUnixMS != 0
 	t.token, t.tokenAt = c.newToken(0), c.now
 	c.targets[d.ID] = t
-	c.logDecision(Decision{Event: "target_adopted", Target: t.ID, Value: int64(t.token)})
+	c.logDecision(Decision{
+		Event: "target_adopted", Target: t.ID, Reason: reason, Value: int64(t.token), BootUnixMS: t.BootUnixMS,
+	})
 	return t
 }
 
@@ -194,16 +203,15 @@
 	return max(token, above+1)
 }
 
-// targetDeregistered processes the shutdown of a target.
+// targetDeregistered processes the shutdown of a target. It ends after the response,
+// or some seconds later if that is lost.
 func (c *Core) targetDeregistered(e TargetDeregistered) {
 	t := c.targets[e.Target]
 	if t == nil || e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS {
 		return
 	}
-	if t.BootUnixMS != 0 {
-		c.deregistered[t.ID] = t.BootUnixMS
-	}
-	c.dropTarget(t, "deregistered", 0)
+	c.endedBoots.add(t.ID, t.BootUnixMS)
+	c.dropTarget(t, "deregistered", bootUncertain)
 }
 
 func (c *Core) targetDraining(e TargetDraining) {
@@ -215,21 +223,43 @@
 	}
 }
 
-// dropTarget removes a target. Its runs may be alive for up to safeAfter.
-func (c *Core) dropTarget(t *target, reason string, safeAfter time.Duration) {
+// targetFate is what is known of the runs of a target that is dropped.
+type targetFate int
+
+const (
+	bootUncertain targetFate = iota // they may be alive until the lease expires
+	bootOver                        // those that the boot has listed are gone
+)
+
+// dropTarget removes a target and reports its runs as lost.
+func (c *Core) dropTarget(t *target, reason string, fate targetFate) {
 	delete(c.targets, t.ID)
 	c.dropOrders(t)
+	var safeAfter time.Duration
 	for _, r := range sortedRuns(t) {
-		report := Report{Ref: r.ref, Kind: RunLost, Target: t.ID, SafeAfter: safeAfter, Reason: reason}
-		if !r.confirmed {
-			report.SafeAfter = max(safeAfter, c.options.Lease+orderTimeout) // the start may still arrive
-		}
+		report := Report{Ref: r.ref, Kind: RunLost, Target: t.ID, SafeAfter: c.aliveFor(t, r, fate), Reason: reason}
+		safeAfter = max(safeAfter, report.SafeAfter)
 		c.reportHome(t, r, report)
 	}
-	c.logDecision(Decision{Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs))})
+	c.logDecision(Decision{
+		Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs)),
+		BootUnixMS: t.BootUnixMS, SafeAfter: safeAfter,
+	})
 	c.availabilityChanged()
 }
 
+// aliveFor returns how long a run of a dropped target may be alive.
+func (c *Core) aliveFor(t *target, r *run, fate targetFate) time.Duration {
+	leaseLeft := max(t.leaseEnd-c.now, 0)
+	switch {
+	case fate == bootOver && r.listed:
+		return 0
+	case !r.confirmed:
+		return max(leaseLeft, c.options.Lease+orderTimeout) // the start may still arrive
+	}
+	return leaseLeft
+}
+
 func (c *Core) dropOrders(t *target) {
 	for id, o := range c.orders {
 		if o.target == t {
