Bound each field of a heartbeat where it is decoded

What callers saw: an entry of another writer under the ID of a sound target, with an address that cannot be called, a sequence or a start near the largest number, replaced the target's description. Its runs were lost, and its true heartbeats were late until the entry expired. Entries under other IDs were polled for ever.

Cause: the decoder checked that service, address, sequence and state are present, but not their values. encoding/json refuses numbers that do not fit into 64 bits and values nested deeper than 10,000 levels, so those were refused already: no process ended and no handler panicked. Values that do fit were adopted: a port of 99999, negative and huge capacities, clocks near the largest number (the end of the lease overflows), labels of megabytes, which then went to all coordinators. A refusal logged and returned a text as long as the request.

What remains: an entry within the bounds, for example with a higher sequence.

--- a/integration/deployment/calls.go
+++ b/integration/deployment/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -84,3 +85,26 @@
 		}
 	}
 }
+
+// SendOddEntries sends the odd entries of all targets to all coordinators and
+// returns those that were acknowledged.
+func (d *Deployment) SendOddEntries(ctx context.Context) (acknowledged []string, err error) {
+	for _, target := range d.Targets {
+		for _, entry := range target.OddEntries() {
+			for _, coordinator := range d.Coordinators {
+				status, err := entry.Send(ctx, d.client.HTTP, controlAddress(coordinator))
+				if err != nil {
+					return acknowledged, errors.Annotatef(err, "%s to %s", entry.Name, coordinator.Machine.IP)
+				}
+				if status/100 == 2 {
+					acknowledged = append(acknowledged, entry.Name+" by "+coordinator.Machine.IP)
+				}
+			}
+		}
+	}
+	return acknowledged, nil
+}
+
+func controlAddress(coordinator *Process) string {
+	return fmt.Sprintf("%s:%d", coordinator.Machine.IP, ports.Control)
+}
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -95,7 +95,7 @@
 func (d *Deployment) startTargets(ctx context.Context, count int) error {
 	var control []string
 	for _, p := range d.Coordinators {
-		control = append(control, fmt.Sprintf("%s:%d", p.Machine.IP, ports.Control))
+		control = append(control, controlAddress(p))
 	}
 	for i := range count {
 		target, err := standin.StartTarget(ctx, standin.TargetOptions{
--- a/placement/validate.go
+++ b/placement/validate.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"net/netip"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -8,8 +9,68 @@
 	"github.com/juju/errors"
 )
 
-// maxNameBytes bounds an ID, a service, a data centre and a label.
-const maxNameBytes = 128
+const (
+	// maxNameBytes bounds an ID, a service, a data centre and a label.
+	maxNameBytes = 128
+	maxLabels    = 64
+	// MaxUnixMS bounds points in time and clocks, in ms: the end of the year 9999.
+	MaxUnixMS = 253_402_300_799_999
+	// maxSequence is out of reach for a target that counts its heartbeats from 0.
+	maxSequence = 1 << 40
+)
+
+// maxCapacity is far above that of any machine, and small enough that sums over all
+// targets do not overflow.
+var maxCapacity = Resources{CPUMillis: 100_000_000, MemoryMB: 1 << 40, GPUs: 100_000}
+
+// Validate checks that the fields are within their bounds. A description that is
+// not valid is that of no target.
+func (d *Description) Validate() error {
+	if err := ValidateTargetID(d.ID); err != nil {
+		return errors.Trace(err)
+	}
+	if err := validateAddress(d.Address); err != nil {
+		return errors.Annotate(err, "address")
+	}
+	switch {
+	case d.Service == "":
+		return errors.NotValidf("empty service")
+	case len(d.Labels) > maxLabels:
+		return errors.NotValidf("%d labels", len(d.Labels))
+	case !(Resources{}).Fits(d.Capacity) || !d.Capacity.Fits(maxCapacity):
+		return errors.NotValidf("capacity %+v", d.Capacity)
+	case d.BootUnixMS < 0 || d.BootUnixMS > MaxUnixMS:
+		return errors.NotValidf("start at %d ms", d.BootUnixMS)
+	case d.ClockMS < 0 || d.ClockMS > MaxUnixMS:
+		return errors.NotValidf("clock at %d ms", d.ClockMS)
+	case d.Sequence > maxSequence:
+		return errors.NotValidf("sequence %d", d.Sequence)
+	}
+	for _, label := range d.Labels {
+		if err := validateName("label", label); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if err := validateName("data centre", d.DataCentre); err != nil {
+		return errors.Trace(err)
+	}
+	return validateName("service", d.Service)
+}
+
+// validateAddress accepts an IP address of one host with a port.
+func validateAddress(address string) error {
+	if len(address) > maxNameBytes {
+		return errors.NotValidf("%d bytes", len(address))
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if ip := parsed.Addr(); ip.IsUnspecified() || ip.IsMulticast() || ip.Zone() != "" || parsed.Port() == 0 {
+		return errors.NotValidf("%s", address)
+	}
+	return nil
+}
 
 // ValidateTargetID checks the ID of a target. It is a string field of messages
 // between coordinators, which cannot hold invalid UTF-8.
