Refuse a job whose number of tasks is out of range

What callers saw: one job with a step of 3,000,000,000 tasks ended the coordinator that received it ("panic: runtime error: makeslice: len out of range"), and the caller's next attempt the next one. Stored, it ended the coordinators in the state machine of the log, so at each start again.

Cause: the gateway checked only that a count is positive. The count is an int32 in messages and in the log, and 3,000,000,000 is negative there; the coordinator makes a slice of that length. A smaller count was accepted whatever memory it needs. An estimate near the largest number overflowed in the same way: the job's objective was negative, so that it expired at once.

The job table does not accept a negative count, because the log may hold one.

--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -21,17 +21,7 @@
 	case *wire.Envelope_Consensus:
 		c.logNode.receive(peer, body.Consensus.GetData())
 	case *wire.Envelope_Submission:
-		c.send(peer, &wire.Envelope{Body: &wire.Envelope_SubmissionReceived{
-			SubmissionReceived: &wire.SubmissionReceived{Ref: body.Submission.GetRef()},
-		}})
-		if body.Submission.GetStored() {
-			go c.handleStoredSubmission(c.runCtx, peer, body.Submission)
-			return
-		}
-		c.loop.push(placement.Submit{
-			Caller: placement.Caller{Gateway: peer, Ref: body.Submission.GetRef()},
-			Job:    jobFromWire(body.Submission),
-		})
+		c.handleSubmission(peer, body.Submission)
 	case *wire.Envelope_Withdrawal:
 		c.loop.push(placement.Withdraw{Caller: placement.Caller{Gateway: peer, Ref: body.Withdrawal.GetRef()}})
 	case *wire.Envelope_RoomUpdate:
@@ -52,6 +42,23 @@
 	}
 }
 
+func (c *Coordinator) handleSubmission(gateway string, submission *wire.Submission) {
+	ref := submission.GetRef()
+	c.send(gateway, &wire.Envelope{Body: &wire.Envelope_SubmissionReceived{SubmissionReceived: &wire.SubmissionReceived{Ref: ref}}})
+	job := jobFromWire(submission)
+	if err := job.Validate(); err != nil { // of a gateway with an earlier version
+		c.send(gateway, &wire.Envelope{Body: &wire.Envelope_SubmissionAnswer{SubmissionAnswer: answerToWire(&placement.AnswerJob{
+			Caller: placement.Caller{Ref: ref}, Outcome: placement.NotRun, Reason: err.Error(), RetryAfter: notRunRetryDelay,
+		})}})
+		return
+	}
+	if submission.GetStored() {
+		go c.handleStoredSubmission(c.runCtx, gateway, submission)
+		return
+	}
+	c.loop.push(placement.Submit{Caller: placement.Caller{Gateway: gateway, Ref: ref}, Job: job})
+}
+
 func (c *Coordinator) handleTargetDrain(message *wire.TargetDrain) {
 	if message.GetLeft() {
 		c.loop.push(placement.TargetDeregistered{Target: message.GetTarget(), BootUnixMS: message.GetBornUnixMs()})
--- a/jobtable/table.go
+++ b/jobtable/table.go
@@ -128,6 +128,11 @@
 	if t.jobs[id] != nil {
 		return verdictTaken, nil
 	}
+	for _, step := range c.GetJob().GetSteps() {
+		if step.GetCount() < 0 {
+			return verdictUnknownJob, nil // written by an earlier version, which ended here
+		}
+	}
 	j := &Job{Submission: c.GetJob(), ID: id, Home: c.GetHome(), State: wire.StoredState_STORED_STATE_QUEUED}
 	for _, step := range c.GetJob().GetSteps() {
 		j.Tasks = append(j.Tasks, make([]Task, step.GetCount()))
--- a/jobtable/table_test.go
+++ b/jobtable/table_test.go
@@ -51,6 +51,13 @@
 		Expect(table.Job(id).State).To(Equal(wire.StoredState_STORED_STATE_COMPLETED))
 	})
 
+	// Guards against coordinators that end at each start because the log holds a job
+	// with a negative number of tasks.
+	It("does not accept a negative number of tasks", func() {
+		Expect(apply(accept("c1/1", 1, -1294967296))).To(HaveExactElements(verdictUnknownJob))
+		Expect(table.Job(id)).To(BeNil())
+	})
+
 	// Guards against a job that is shown as completed while a task is not done.
 	It("completes a job with its last task", func() {
 		apply(accept("c1/1", 1, 2), end(id+".0.0.0", 1, true), end(id+".0.1.1", 1, true), end(id+".0.1.1", 1, true))
--- a/placement/validate.go
+++ b/placement/validate.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 	"unicode"
 	"unicode/utf8"
 
@@ -17,6 +18,11 @@
 	MaxUnixMS = 253_402_300_799_999
 	// maxSequence is out of reach for a target that counts its heartbeats from 0.
 	maxSequence = 1 << 40
+	// maxTasks bounds the tasks of a job, which coordinators hold in memory.
+	maxTasks = 50_000
+	// MaxExpected bounds the estimated run time of a task, so that the sum over the
+	// steps of a job does not overflow.
+	MaxExpected = 24 * time.Hour
 )
 
 // maxCapacity is far above that of any machine, and small enough that sums over all
@@ -81,6 +87,32 @@
 	return validateName("target ID", id)
 }
 
+// Validate checks that a job has tasks, and that its numbers are within their bounds.
+func (j *Job) Validate() error {
+	tasks := 0
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		switch {
+		case step.Count < 1 || step.Count > maxTasks-tasks:
+			return errors.NotValidf("step %d: count %d", i, step.Count)
+		case !(Resources{}).Fits(step.Need):
+			return errors.NotValidf("step %d: resources %+v", i, step.Need)
+		case step.Expected < 0 || step.Expected > MaxExpected:
+			return errors.NotValidf("step %d: expected time %s", i, step.Expected)
+		}
+		for _, earlier := range step.After {
+			if earlier < 0 || earlier >= i {
+				return errors.NotValidf("step %d: after %d", i, earlier)
+			}
+		}
+		tasks += step.Count
+	}
+	if tasks == 0 {
+		return errors.NotValidf("job without steps")
+	}
+	return nil
+}
+
 func validateName(field, value string) error {
 	switch {
 	case len(value) > maxNameBytes:
