Leave targets that are not valid out of the recalled list

What callers saw: an entry of another writer that was adopted once comes back with each start of a coordinator, from the list of targets in its data folder, and is polled before the first heartbeat arrives.

Cause: the list is checked for damage by a checksum, but its targets were taken over as they are.

Fix: each target of the list is checked like one in a heartbeat. One that is not valid is left out with the event target_not_recalled; the others stay.

--- a/cluster/targetcache.go
+++ b/cluster/targetcache.go
@@ -130,7 +130,8 @@
 }
 
 // load returns the targets written last. A missing, truncated or corrupt file
-// yields none; the latter two are logged.
+// yields none; the latter two are logged. So is a target that is not valid, which
+// an earlier version may have written.
 func (c *targetCache) load() []placement.Description {
 	data, err := os.ReadFile(filepath.Join(c.folder, cacheFile))
 	if err != nil {
@@ -149,8 +150,13 @@
 		return nil
 	}
 	targets := make([]placement.Description, 0, len(list.GetTargets()))
-	for _, target := range list.GetTargets() {
-		targets = append(targets, descriptionFromWire(target))
+	for _, message := range list.GetTargets() {
+		target := descriptionFromWire(message)
+		if err := target.Validate(); err != nil {
+			c.logger.Warn().Str("event", "target_not_recalled").Str("target", target.ID).Err(err).Send()
+			continue
+		}
+		targets = append(targets, target)
 	}
 	c.logger.Info().Str("event", "targets_recalled").Int("targets", len(targets)).Send()
 	return targets
--- a/cluster/targetcache_test.go
+++ b/cluster/targetcache_test.go
@@ -1,9 +1,12 @@
 package cluster
 
 import (
+	"bytes"
 	"io"
+	"math"
 	"os"
 	"path/filepath"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -28,6 +31,21 @@
 		Expect(c.load()).To(Equal(targets))
 	})
 
+	// Guards against an entry of another writer, stored by an earlier version, that
+	// comes back with each start.
+	It("leaves out a target that is not valid", func() {
+		folder := GinkgoT().TempDir()
+		var log bytes.Buffer
+		c := newTargetCache(folder, zerolog.New(&log))
+		odd := targets[0]
+		odd.ID, odd.Address = "i-2", "10.0.0.9:99999"
+		huge := targets[0]
+		huge.ID, huge.BootUnixMS, huge.Labels = "i-3", math.MaxInt64, make([]string, 1<<16)
+		Expect(c.write(targetList([]placement.Description{odd, targets[0], huge}))).To(Succeed())
+		Expect(c.load()).To(Equal(targets))
+		Expect(strings.Count(log.String(), `"event":"target_not_recalled"`)).To(Equal(2))
+	})
+
 	// Guards against targets that are lost in a power loss: the coordinators then
 	// waited a second or more for heartbeats.
 	It("syncs a new file before it replaces the earlier one", func() {
