Take no target over from a peer if it is not valid

What callers saw: nothing yet. While coordinators of two versions run, one that still adopts an odd entry hands it over, or forwards its heartbeats, and the others adopted it unseen.

Cause: descriptions from other coordinators were taken over as they are.

Fix: a forwarded heartbeat that is not valid is an error for the caller, so that the sender does not acknowledge it. A hand-over with such a target is rejected like one that arrives late: the homes of its runs get them reported as lost, and the target returns with its next true heartbeat. The event is target_invalid.

--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -36,7 +36,7 @@
 	case *wire.Envelope_PlacementStops:
 		c.loop.push(placement.StopRequested{Peer: peer, Refs: body.PlacementStops.GetRefs()})
 	case *wire.Envelope_TargetHandOver:
-		c.loop.push(placement.HandOverReceived{Peer: peer, HandOver: handOverFromWire(body.TargetHandOver)})
+		c.handleHandOver(peer, body.TargetHandOver)
 	case *wire.Envelope_TargetDrain:
 		c.handleTargetDrain(body.TargetDrain)
 	}
@@ -59,6 +59,16 @@
 	c.loop.push(placement.Submit{Caller: placement.Caller{Gateway: gateway, Ref: ref}, Job: job})
 }
 
+// handleHandOver takes a target over. A peer with an earlier version may own one that
+// is not valid.
+func (c *Coordinator) handleHandOver(peer string, message *wire.TargetHandOver) {
+	event := placement.HandOverReceived{Peer: peer, HandOver: handOverFromWire(message)}
+	if err := event.HandOver.Description.Validate(); err != nil {
+		event.Invalid = err.Error()
+	}
+	c.loop.push(event)
+}
+
 func (c *Coordinator) handleTargetDrain(message *wire.TargetDrain) {
 	if message.GetLeft() {
 		c.loop.push(placement.TargetDeregistered{Target: message.GetTarget(), BootUnixMS: message.GetBornUnixMs()})
@@ -99,7 +109,11 @@
 		state, err := c.handleJobQuery(ctx, body.JobQuestion.GetJobId(), body.JobQuestion.GetCancel())
 		return &wire.Envelope{Body: &wire.Envelope_JobState{JobState: state}}, err
 	case *wire.Envelope_TargetHandOver:
-		return &wire.Envelope{}, c.acceptHeartbeat(ctx, descriptionFromWire(body.TargetHandOver.GetTarget()))
+		target := descriptionFromWire(body.TargetHandOver.GetTarget())
+		if err := target.Validate(); err != nil {
+			return nil, errors.Annotate(err, "forwarded heartbeat")
+		}
+		return &wire.Envelope{}, c.acceptHeartbeat(ctx, target)
 	}
 	return nil, errors.NotSupportedf("request %T", request.GetBody())
 }
--- a/placement/core_test.go
+++ b/placement/core_test.go
@@ -363,6 +363,22 @@
 	})
 })
 
+var _ = Describe("a target that is handed over and is not valid", func() {
+	// Guards against jobs that are never answered because their target is left out.
+	It("has its runs reported as lost, and gets no orders", func() {
+		h := newHarness()
+		h.step(0, placement.PeerAvailability{Peer: "c1"})
+		h.step(0, placement.HandOverReceived{Peer: "c1", Invalid: "port 0", HandOver: placement.HandOver{
+			Description: description("t", 1), Token: 5, Runs: []placement.HandedRun{{Home: "c1", Ref: 77, Task: "0000000000000001.0.0.0", Run: 1}},
+		}})
+		h.step(300*time.Millisecond, placement.Tick{})
+		Expect(take[placement.SendReports](h)).To(ConsistOf(HaveField("Reports", ConsistOf(And(
+			HaveField("Ref", uint64(77)), HaveField("Kind", placement.RunLost), HaveField("SafeAfter", BeNumerically(">", time.Second)),
+		)))))
+		Expect(take[placement.PollOrder](h)).To(BeEmpty())
+	})
+})
+
 var _ = Describe("available targets", func() {
 	// Guards against a new peer that receives idle targets only when they change.
 	It("are announced again when a coordinator connects", func() {
--- a/placement/events.go
+++ b/placement/events.go
@@ -79,6 +79,7 @@
 type HandOverReceived struct {
 	Peer     string
 	HandOver HandOver
+	Invalid  string // why the target is not taken over; empty: it is
 }
 
 // OrderResponse is the result of an order to a target.
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -94,14 +94,14 @@
 	c.availabilityChanged()
 }
 
-// rejectHandOver reports the runs of a target that was taken over here by its
-// heartbeat before the hand-over arrived. They are stopped as unknown runs, and
-// their lease is not extended before that.
+// rejectHandOver reports the runs of a target that is not valid, or that was taken
+// over here by its heartbeat before the hand-over arrived. They are stopped as
+// unknown runs, and their lease is not extended before that.
 func (c *Core) rejectHandOver(handOver HandOver) {
 	for i := range handOver.Runs {
 		report := Report{
 			Ref: handOver.Runs[i].Ref, Kind: RunLost, Target: handOver.Description.ID, Token: handOver.Token,
-			SafeAfter: c.options.Lease + c.options.StopTime + orderTimeout, Reason: "hand-over arrived late",
+			SafeAfter: c.options.Lease + c.options.StopTime + orderTimeout, Reason: "hand-over rejected",
 		}
 		if home := handOver.Runs[i].Home; home != c.options.Name {
 			c.queueReport(home, report)
@@ -164,6 +164,11 @@
 // runs of this home become local runs; other homes get a report of the new owner.
 func (c *Core) handOverReceived(e HandOverReceived) {
 	d := e.HandOver.Description
+	if e.Invalid != "" {
+		c.logDecision(Decision{Event: "target_invalid", Target: d.ID, Peer: e.Peer, Reason: e.Invalid})
+		c.rejectHandOver(e.HandOver)
+		return
+	}
 	if old := c.targets[d.ID]; old != nil {
 		if old.token > e.HandOver.Token {
 			c.rejectHandOver(e.HandOver)
