--- a/placement/types.go
+++ b/placement/types.go
@@ -75,9 +75,12 @@
 	return longest
 }
 
+// maxObjective keeps sums with the time of submission within a Duration.
+const maxObjective = 365 * 24 * time.Hour
+
 // objective returns the time after its submission within which the job should end.
 func (j *Job) objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.criticalPath())) + j.Allowance
+	return time.Duration(min(j.Stretch*float64(j.criticalPath()), float64(maxObjective))) + j.Allowance
 }
 
 // StartTimeout returns how long the job may wait for its first start.
