Run a lent task on the target that its home has chosen

What callers saw: a stored job whose runs were lost in a crash of the only target was not completed within 40 s, although the target was back after 1 s; each of its tasks was placed and rejected every 20 ms (run_ended reason="rejected no room", with run numbers that go up). Many targets hide it: another one is chosen.

Cause: the home prefers other targets than the one on which the last run of a task was lost, and still takes that one if no other fits. The owner of the target excluded it altogether, and rejected the placement.

Fix: the owner excludes the target to be avoided only as a substitute for the chosen one.

--- a/placement/lend.go
+++ b/placement/lend.go
@@ -133,7 +133,7 @@
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
 		if t.Service != p.Service || !matches(t.Labels, p.Requirement) || !p.Need.Fits(t.free()) ||
-			!t.usable(c.now) || id == p.Avoid || t.runs[runKey{p.Task, p.Run}] != nil {
+			!t.usable(c.now) || id == p.Avoid && id != p.Target || t.runs[runKey{p.Task, p.Run}] != nil {
 			continue
 		}
 		if id == p.Target {
--- a/placement/lend_test.go
+++ b/placement/lend_test.go
@@ -76,6 +76,18 @@
 		Expect(h.core.Status().PeerTargets).To(Equal(1))
 	})
 
+	// Guards against a task that is placed and rejected without end: its home prefers
+	// other targets than the one on which a run was lost, and finds no other.
+	It("run a task on the chosen target although it should be avoided", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.step(0, placement.PlacementsRequested{Peer: "c1", Placements: []placement.Placement{
+			{Ref: 1, Task: "j.0.0.0", Run: 2, Service: "desk", Target: "t", Avoid: "t"},
+			{Ref: 2, Task: "j.0.0.1", Run: 2, Service: "desk", Target: "gone", Avoid: "t"},
+		}})
+		Expect(take[placement.StartOrder](h)).To(HaveExactElements(HaveField("Task", "j.0.0.0")))
+	})
+
 	// Guards against a home that treats a target as full for good: the owner sends
 	// only changes, and a rejected placement changes nothing.
 	It("are sent again to a home whose placement was rejected", func() {
