Extend no lease on a target while a run there has to end

An owner whose stop got no response polled the target to find out, and that poll, like starts of other tasks there, extended the lease of the run. On a path that loses most messages this went on for as long as one order in a while arrived, while another home, which knows nothing of the run, started the task.

From the moment at which a run has to end until the end is listed, polls do not extend its target's lease, and starts there get the lease that is left, or go elsewhere if it does not last until the next poll. So such a run is gone longestLease after the stop was wanted, whatever is lost. A stop that arrives takes 50 ms, in which no lease needs an extension. A target with a run that cannot be stopped for a second loses its other runs with it. A target that is handed over counts as leased by its earlier owner.

The two unit tests fail on the code before (the lease is extended after the stop).

--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -36,10 +36,16 @@
 }
 
 // loseMessages makes the paths to a third of the targets lossy.
-func loseMessages(s *simulation) {
+func loseMessages(s *simulation) { loseShare(s, 0.3) }
+
+// loseMostMessages does so with paths on which a message of several packets rarely
+// arrives in time.
+func loseMostMessages(s *simulation) { loseShare(s, 0.6) }
+
+func loseShare(s *simulation, share float64) {
 	for _, t := range s.targets {
 		if s.random.IntN(3) == 0 {
-			s.impair(t, simPath{requestLoss: 0.3, responseLoss: 0.3}, s.someCoordinators(), 7*time.Second)
+			s.impair(t, simPath{requestLoss: share, responseLoss: share}, s.someCoordinators(), 7*time.Second)
 		}
 	}
 }
@@ -105,6 +111,9 @@
 		"lossy paths to targets, callers return": {
 			perSecond: 40, longestRun: 3 * time.Second, injectFaults: all(loseMessages, callersReturn(promptly)),
 		},
+		"most messages to targets lost, callers return": {
+			perSecond: 5, longestRun: 3 * time.Second, injectFaults: all(loseMostMessages, callersReturn(promptly)),
+		},
 		// 40, and 2 below: the next boot had accepted a start, and its first list of
 		// runs was taken for the end of all runs.
 		"targets return under their IDs": {perSecond: 40, seeds: []uint64{40}, injectFaults: crashTargets(0)},
@@ -147,7 +156,7 @@
 				expectInvariants(s, seed)
 				completed += s.completed + s.log.completed
 			}
-			Expect(completed).To(BeNumerically(">", int(count)*25), "jobs completed")
+			Expect(completed).To(BeNumerically(">", int(count)*entry.perSecond*5/8), "jobs completed")
 		})
 	}
 })
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -174,6 +174,7 @@
 	t := c.adoptTarget(d, "handed over")
 	t.token, t.tokenAt = c.newToken(e.HandOver.Token), c.now
 	t.lastEndNumber, t.heartbeatAt = e.HandOver.AckedEnd, c.now
+	t.leaseEnd = c.now + c.longestLease() // granted by the earlier owner
 	for _, h := range e.HandOver.Runs {
 		r := &run{
 			key: runKey{h.Task, h.Run}, home: h.Home, ref: h.Ref, queue: h.Queue, need: h.Need,
--- a/placement/boots_test.go
+++ b/placement/leases_test.go
@@ -121,3 +121,45 @@
 		Expect(start.ExpiresMS).To(BeNumerically(">", clock+900), "the lease is too short to be of use")
 	})
 })
+
+var _ = Describe("a run that has to end", func() {
+	// Guards against a task that runs twice: stops got no response, each was followed
+	// by a poll that extended the lease, and the caller returned elsewhere.
+	It("ends with the lease that its target had when its caller left", func() {
+		h := newHarness()
+		start := startListed(h)
+		poll := lastPoll(h, start.Target.ID)
+		h.step(100*time.Millisecond, placement.Withdraw{Caller: placement.Caller{Gateway: "g", Ref: 1}})
+		stops := take[placement.StopOrder](h)
+		Expect(stops).To(HaveLen(1))
+		for range 5 {
+			h.step(200*time.Millisecond, placement.OrderResponse{Order: stops[0].Order, Result: placement.Unknown})
+			poll = lastPoll(h, start.Target.ID)
+			Expect(poll.ExpiresMS).To(BeZero(), "the lease is extended")
+			h.step(time.Millisecond, placement.OrderResponse{
+				Order: poll.Order, Result: placement.OK, ClockMS: 1300, BootUnixMS: 7,
+				Running: []placement.RunningEntry{{Task: start.Task, Run: 1, Percent: 30}},
+			})
+			if stops = take[placement.StopOrder](h); len(stops) == 0 {
+				break
+			}
+		}
+		Expect(stops).NotTo(BeEmpty(), "the stop is repeated")
+	})
+
+	// Guards against a lease that a start on the same target extends instead.
+	It("gets no longer lease by the start of another one", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.submit("0000000000000001", 1, 1)
+		first := h.confirmStarts()[0]
+		h.step(100*time.Millisecond, placement.Withdraw{Caller: placement.Caller{Gateway: "g", Ref: 1}})
+		h.submit("0000000000000002", 1, 2)
+		second := take[placement.StartOrder](h)
+		Expect(second).To(HaveLen(1))
+		Expect(second[0].ExpiresMS).To(BeNumerically("<=", first.ExpiresMS+100), "not later than the last poll's")
+		h.step(400*time.Millisecond, placement.Tick{})
+		h.submit("0000000000000003", 1, 3)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty(), "the remaining lease is too short")
+	})
+})
--- a/placement/target.go
+++ b/placement/target.go
@@ -51,6 +51,7 @@
 	clockMS        int64         // lower bound of the target's clock at clockAt
 	clockAt        time.Duration
 	leaseEnd       time.Duration // every run has ended by then unless an order extends the lease
+	expiresMS      int64         // end of the last lease on the target's clock
 	runs           map[runKey]*run
 	used           Resources
 	unacked        map[uint64]*unackedEnd // ends that the target has to keep, by number
@@ -85,7 +86,36 @@
 // the target's clock, no lease ends later, however late its order is carried out.
 func (t *target) extendLease(now, lease time.Duration) int64 {
 	t.leaseEnd = max(t.leaseEnd, now+onSlowClock(lease))
-	return t.clock(now) + lease.Milliseconds()
+	t.expiresMS = t.clock(now) + lease.Milliseconds()
+	return t.expiresMS
+}
+
+// startLease returns the end of the lease for a start, on the target's clock.
+func (t *target) startLease(now, lease time.Duration) int64 {
+	if t.hasStoppingRun() {
+		return t.expiresMS
+	}
+	return t.extendLease(now, lease)
+}
+
+// hasStoppingRun reports whether a run there has to end. Until it has, the lease is
+// not extended, so that the run is gone longestLease later even if no stop arrives.
+func (t *target) hasStoppingRun() bool {
+	for _, r := range t.runs {
+		if r.stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// admitsStart reports whether the lease lets a run start. It is not extended while
+// another run is being stopped, and has to last until a poll extends it again.
+func (t *target) admitsStart(now time.Duration) bool {
+	if t.leaseWithheld() {
+		return false
+	}
+	return !t.hasStoppingRun() || t.expiresMS-t.clock(now) >= (pollWait+orderTimeout).Milliseconds()
 }
 
 // onSlowClock returns how long a time on a target's clock takes at most.
@@ -93,7 +123,7 @@
 
 // usable reports whether the target may get starts.
 func (t *target) usable(now time.Duration) bool {
-	return t.state == ready && !t.Draining && t.failedPolls == 0 && !t.leaseWithheld() &&
+	return t.state == ready && !t.Draining && t.failedPolls == 0 && t.admitsStart(now) &&
 		now-t.heartbeatAt < heartbeatTimeout && t.health.admits(now, len(t.runs))
 }
 
@@ -304,7 +334,7 @@
 		Target: t.ref(), Token: t.token, AckedEnd: t.ackableEndNumber(),
 		Wait: wait, Timeout: wait + orderTimeout,
 	}
-	if t.failedPolls < extendingPolls && len(t.runs) > 0 && !t.hasUnknownRun() && !t.leaseWithheld() {
+	if t.failedPolls < extendingPolls && len(t.runs) > 0 && !t.hasUnknownRun() && !t.hasStoppingRun() && !t.leaseWithheld() {
 		o.ExpiresMS = t.extendLease(c.now, c.options.Lease)
 	}
 	o.Order = c.newOrder(&order{kind: pollOrder, target: t, token: t.token, ackedEndNumber: o.AckedEnd, sentAt: c.now})
@@ -329,7 +359,7 @@
 	id := c.newOrder(&order{kind: startOrder, target: t, run: r, token: t.token, sentAt: c.now})
 	c.emit(StartOrder{
 		Order: id, Target: t.ref(), Task: r.key.task, Run: r.key.run, Spec: spec,
-		ExpiresMS: t.extendLease(c.now, c.options.Lease), Token: t.token, Timeout: orderTimeout,
+		ExpiresMS: t.startLease(c.now, c.options.Lease), Token: t.token, Timeout: orderTimeout,
 	})
 	c.availabilityChanged()
 }
