Count refs of placements and submissions from a random number

Cause (new, found by the schedule "coordinators with clocks apart"): a home counted the refs of its placements from its time of day at its start, so that reports for an earlier process of the same name match none of its own. After the time of day has stepped back between the two processes, they can. Gateways counted from 0 in each process, so a withdrawal could meet an earlier process's entry.

Both now count from a random number.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -84,6 +84,7 @@
 	hello := newHello(options.Name, options.DataCentre)
 	hello.Voter = true
 	c.options.Placement.Home = homeName(hello)
+	c.options.Placement.FirstRef = firstRef()
 	c.logNode = &logNode{
 		coordinator: c, store: newStateStore(options.JobRetention), progress: newLogProgress(), applied: make(chan struct{}, 1),
 	}
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -92,6 +92,7 @@
 		dialled:      map[string]bool{},
 		lostAt:       map[string]time.Time{},
 		pending:      map[uint64]*pendingJob{},
+		lastRef:      firstRef(),
 	}
 	g.mesh = newMesh(newHello(options.Name, options.DataCentre), nil, g)
 	return g
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -24,6 +25,11 @@
 	return &wire.Hello{Instance: name, DataCentre: dataCentre, Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36)}
 }
 
+// firstRef returns a random number to count refs from. Messages for an earlier process
+// of the same name may still arrive, so its refs are not used again; the time of day
+// does not tell processes apart after it has stepped back.
+func firstRef() uint64 { return rand.Uint64() >> 1 &^ (1<<24 - 1) }
+
 // newMesh returns the mesh of a process. Without a listener it only dials.
 func newMesh(hello *wire.Hello, listener net.Listener, handler wire.Handler) *wire.Mesh {
 	return wire.NewMesh(wire.MeshOptions{
--- a/placement/core.go
+++ b/placement/core.go
@@ -13,8 +13,6 @@
 	// tokenStep is added when a target rejects a token as too low: 5 s, more than
 	// clocks differ.
 	tokenStep = 5000 << tokenShift
-	// refShift allows a thousand placements per millisecond since the process started.
-	refShift = 10
 )
 
 // Core is the placement state of one coordinator. It is owned by one goroutine.
@@ -85,9 +83,7 @@
 // Step processes one event. The time must come from a monotonic clock.
 func (c *Core) Step(now time.Duration, event Event) {
 	if !c.started {
-		c.clockStart, c.started = now, true
-		// Reports for an earlier process may still arrive, so no ref is used again.
-		c.lastRef = uint64(c.options.UnixMS) << refShift
+		c.clockStart, c.started, c.lastRef = now, true, c.options.FirstRef
 	}
 	c.now = now
 	if name := sender(event); name != "" {
--- a/placement/options.go
+++ b/placement/options.go
@@ -12,6 +12,9 @@
 	Lease time.Duration
 	// StopTime is the longest time that a target takes to stop a run.
 	StopTime time.Duration
+	// FirstRef precedes the refs of this process's placements. Reports for an earlier
+	// process may still arrive, so it is random, with its low bits zero.
+	FirstRef uint64
 	// UnixMS is the wall-clock time at the start of the core, in Unix ms; the
 	// fencing tokens are based on it.
 	UnixMS int64
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -128,7 +128,7 @@
 
 func (s *simulation) start(c *simCoordinator) {
 	c.core = placement.New(placement.Options{
-		Name: c.name, Home: c.home(), Lease: simLease, StopTime: simStopTime, UnixMS: 1_700_000_000_000 + s.now.Milliseconds() + s.clockError(),
+		Name: c.name, Home: c.home(), Lease: simLease, StopTime: simStopTime, FirstRef: uint64(s.now) << 12, UnixMS: 1_700_000_000_000 + s.now.Milliseconds() + s.clockError(),
 	})
 	s.tick(c, c.incarnation)
 	s.startLog(c)
