--- a/placement/core.go
+++ b/placement/core.go
@@ -13,8 +13,6 @@
 	// tokenStep is added when a target rejects a token as too low: 5 s, more than
 	// clocks differ.
 	tokenStep = 5000 << tokenShift
-	// refShift allows a thousand placements per millisecond since the process started.
-	refShift = 10
 )
 
 // Core is the placement state of one coordinator. It is owned by one goroutine.
@@ -34,6 +32,7 @@
 
 	jobs       map[string]*job // by ID
 	callers    map[Caller]*job
+	reserved   map[string]bool  // jobs that have ended and whose lost runs may be alive
 	queue      []*job           // jobs with waiting tasks, in scheduling order
 	placements map[uint64]*task // tasks with a placement, by ref
 	lastRef    uint64
@@ -71,6 +70,7 @@
 		orders:        map[uint64]*order{},
 		jobs:          map[string]*job{},
 		callers:       map[Caller]*job{},
+		reserved:      map[string]bool{},
 		placements:    map[uint64]*task{},
 		peers:         map[string]*peer{},
 		linked:        map[string]bool{},
@@ -83,9 +83,7 @@
 // Step processes one event. The time must come from a monotonic clock.
 func (c *Core) Step(now time.Duration, event Event) {
 	if !c.started {
-		c.clockStart, c.started = now, true
-		// Reports for an earlier process may still arrive, so no ref is used again.
-		c.lastRef = uint64(c.options.UnixMS) << refShift
+		c.clockStart, c.started, c.lastRef = now, true, c.options.FirstRef
 	}
 	c.now = now
 	if name := sender(event); name != "" {
@@ -262,6 +260,7 @@
 	}
 	c.expireQueue()
 	c.expireJobs()
+	c.removeReserved()
 	c.expireHandOvers()
 	c.expireReports()
 	c.checkPeers()
