Soak: targets that crash and return, shrink, drain and carry out orders late

It can now crash and return under its ID and address with its clock, heartbeats and ends counted anew and a lower start; carry out starts and stops 2 to 12 s late, at whichever boot is up then, without a response; announce another capacity; and drain, linger, deregister and return. Its checks are the same. A shrunk capacity counts 3 s and a heartbeat later.

--- a/integration/deployment/calls.go
+++ b/integration/deployment/calls.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"hawthornshore.example/platform/standin"
 )
 
 // Answer is the answer to a submission.
@@ -86,15 +88,15 @@
 	}
 }
 
-// SendOddEntries sends the odd entries of all targets to all coordinators and
-// returns those that were acknowledged.
-func (d *Deployment) SendOddEntries(ctx context.Context) (acknowledged []string, err error) {
-	for _, target := range d.Targets {
+// SendOddEntries sends the odd entries of targets to all coordinators. It returns
+// those that were acknowledged, and the error of the last one without a response.
+func (d *Deployment) SendOddEntries(ctx context.Context, targets ...*standin.Target) (acknowledged []string, failed error) {
+	for _, target := range targets {
 		for _, entry := range target.OddEntries() {
 			for _, coordinator := range d.Coordinators {
 				status, err := entry.Send(ctx, d.client.HTTP, controlAddress(coordinator))
 				if err != nil {
-					return acknowledged, errors.Annotatef(err, "%s to %s", entry.Name, coordinator.Machine.IP)
+					failed = errors.Annotatef(err, "%s to %s", entry.Name, coordinator.Machine.IP)
 				}
 				if status/100 == 2 {
 					acknowledged = append(acknowledged, entry.Name+" by "+coordinator.Machine.IP)
@@ -102,7 +104,7 @@
 			}
 		}
 	}
-	return acknowledged, nil
+	return acknowledged, failed
 }
 
 func controlAddress(coordinator *Process) string {
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -100,7 +100,7 @@
 	for i := range count {
 		target, err := standin.StartTarget(ctx, standin.TargetOptions{
 			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: fmt.Sprintf("dc%d", i%2),
-			Rack: fmt.Sprintf("r%d", i/4), Capacity: placement.Resources{CPUMillis: 32000, MemoryMB: 4096},
+			Rack: fmt.Sprintf("r%d", i/4), Capacity: TargetCapacity,
 			Control: control, Epoch: d.epoch, Advertise: d.advertise,
 			Runner: emulator.RunnerOptions{
 				Lease: time.Second, StopTime: 20 * time.Millisecond, Work: taskDuration, Need: taskResources,
@@ -136,6 +136,9 @@
 	return placement.Resources{CPUMillis: taskMillis, MemoryMB: taskMB}
 }
 
+// TargetCapacity is the capacity of a target at its start.
+var TargetCapacity = placement.Resources{CPUMillis: 32000, MemoryMB: 4096}
+
 const (
 	maxAttempts = 3 // of the queue that the stand-in operator defines
 	taskMillis  = 14000
--- a/integration/deployment/odd_test.go
+++ b/integration/deployment/odd_test.go
@@ -23,7 +23,7 @@
 				time.Sleep(4 * submitInterval)
 			}
 		})
-		acknowledged, err := d.SendOddEntries(ctx)
+		acknowledged, err := d.SendOddEntries(ctx, d.Targets...)
 		stop()
 		load.Wait()
 		Expect(err).NotTo(HaveOccurred())
--- a/integration/deployment/soak_test.go
+++ b/integration/deployment/soak_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -110,11 +111,20 @@
 	first, count, duration := soakOptions()
 	for seed := first; seed < first+count; seed++ {
 		// Guards against lost accepted jobs, tasks that run twice and lost documents
-		// under random sequences of signals to processes, silent targets, and faults
-		// of the connections to targets.
+		// under random sequences of signals to processes, silent targets, faults of the
+		// connections to targets, and faults of the targets themselves.
 		It(fmt.Sprintf("loses no accepted job and runs no task twice, seed %d", seed), SpecTimeout(duration+120*time.Second), func(ctx SpecContext) {
 			s := &soak{d: start(ctx, 2, 3+int(seed%2), 6), random: rand.New(rand.NewPCG(seed, 7)), caller: &jobCaller{}, stored: &storedJobs{}}
+			faults := &targetFaults{d: s.d, random: rand.New(rand.NewPCG(seed, 8))}
+			faultsContext, stopFaults := context.WithCancel(ctx)
+			var running sync.WaitGroup
+			running.Go(func() {
+				defer GinkgoRecover()
+				faults.run(faultsContext)
+			})
 			s.run(ctx, duration)
+			stopFaults()
+			running.Wait()
 			s.stored.expectGuarantees(ctx, s.d)
 			s.caller.expectGuarantees(ctx, s.d)
 			Expect(s.d.WaitServing(ctx, jobID(999_997))).To(Succeed())
