--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -242,15 +242,6 @@
 	return response
 }
 
-// Crash ends all runs at the given time, without ends for a coordinator to read.
-func (r *Runner) Crash(now time.Duration) {
-	r.Advance(now)
-	for _, key := range r.sortedKeys() {
-		r.records = append(r.records, RunRecord{Task: key.task, Started: r.runs[key].started, Ended: now, Kind: placement.EndOther})
-	}
-	r.runs = map[runKey]*activeRun{}
-}
-
 // Restart emulates a new boot under the same ID: all runs and all state of the
 // previous boot are lost.
 func (r *Runner) Restart(bootUnixMS int64) {
