Give up tasks that crash the targets that start them

Cause: a run lost with its target counted as nothing. The home started the task again once the lease had expired, with all others lost there, in the same moment and on the same targets, so that sound tasks went down with the deadly one.

Ruled out: a count that a move of the home or a hand-over sets to 0. There was no count, and the starts went on without end before the first coordinator was killed.

Now the owner of a lost target reports its address and boot, whether the run was alone, and whether it was the newest one on a target that refuses connections. Coordinators announce address and boot with their available targets, so that each home sees a later boot (a crash) or the same one (none). A suspected task runs beside no other suspect, or alone; after two losses it waits for the verdicts; after two crashes, one of them alone, its job fails. For stored jobs the losses are in the log.

--- a/cluster/availability.go
+++ b/cluster/availability.go
@@ -53,12 +53,13 @@
 		present[target.Target] = true
 		old, known := p.sent[target.Target]
 		p.sent[target.Target] = target
-		sameKind := known && old.Service == target.Service && slices.Equal(old.Labels, target.Labels)
-		if sameKind && old.Free == target.Free && old.Suspect == target.Suspect {
+		sameKind := known && old.Service == target.Service && slices.Equal(old.Labels, target.Labels) &&
+			old.Address == target.Address && old.BootUnixMS == target.BootUnixMS
+		if sameKind && old.Free == target.Free && old.Suspect == target.Suspect && old.Idle == target.Idle {
 			continue
 		}
 		if sameKind {
-			target.Service, target.Labels = "", nil
+			target.Service, target.Labels, target.Address, target.BootUnixMS = "", nil, "", 0
 		}
 		changed = append(changed, target)
 	}
--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -72,6 +72,7 @@
 			Ref: p.Ref, Task: p.Task, Run: int32(p.Run), Queue: p.Queue, Service: p.Service, Spec: p.Spec,
 			Need: resourcesToWire(p.Need), ExpectedMs: ms(p.Expected), Requirement: p.Requirement,
 			Rack: p.Rack, Target: p.Target, Avoid: p.Avoid, Stored: p.Stored,
+			Alone: p.Alone, Suspect: p.Suspect,
 		})
 	}
 	return request
@@ -84,6 +85,7 @@
 			Ref: p.GetRef(), Task: p.GetTask(), Run: int(p.GetRun()), Queue: p.GetQueue(), Service: p.GetService(),
 			Spec: p.GetSpec(), Need: resourcesFromWire(p.GetNeed()), Expected: fromMS(p.GetExpectedMs()),
 			Requirement: p.GetRequirement(), Rack: p.GetRack(), Target: p.GetTarget(), Avoid: p.GetAvoid(), Stored: p.GetStored(),
+			Alone: p.GetAlone(), Suspect: p.GetSuspect(),
 		})
 	}
 	return placements
@@ -95,7 +97,7 @@
 		r := &reports[i]
 		message.Reports = append(message.Reports, &wire.PlacementReport{
 			Ref: r.Ref, Event: wire.PlacementEvent(r.Kind), Target: r.Target, SafeAfterMs: ms(r.SafeAfter), Reason: r.Reason,
-			Token: r.Token,
+			Token: r.Token, Loss: targetLossToWire(r.Loss),
 		})
 	}
 	return message
@@ -107,6 +109,7 @@
 		reports = append(reports, placement.Report{
 			Ref: r.GetRef(), Kind: placement.ReportKind(r.GetEvent()), Target: r.GetTarget(),
 			SafeAfter: fromMS(r.GetSafeAfterMs()), Reason: r.GetReason(), Token: r.GetToken(),
+			Loss: targetLossFromWire(r.GetLoss()),
 		})
 	}
 	return reports
@@ -118,7 +121,7 @@
 		t := &targets[i]
 		message = append(message, &wire.Room{
 			Target: t.Target, Service: t.Service, Labels: t.Labels, Free: resourcesToWire(t.Free),
-			Suspect: t.Suspect,
+			Suspect: t.Suspect, Idle: t.Idle, Address: t.Address, BornUnixMs: t.BootUnixMS,
 		})
 	}
 	return message
@@ -129,7 +132,7 @@
 	for _, r := range message {
 		targets = append(targets, placement.AvailableTarget{
 			Target: r.GetTarget(), Service: r.GetService(), Labels: r.GetLabels(), Free: resourcesFromWire(r.GetFree()),
-			Suspect: r.GetSuspect(),
+			Suspect: r.GetSuspect(), Idle: r.GetIdle(), Address: r.GetAddress(), BootUnixMS: r.GetBornUnixMs(),
 		})
 	}
 	return targets
@@ -158,6 +161,7 @@
 		message.Runs = append(message.Runs, &wire.HandedRun{
 			Home: r.Home, Ref: r.Ref, Task: r.Task, Run: int32(r.Run), Queue: r.Queue,
 			Need: resourcesToWire(r.Need), ExpectedMs: ms(r.Expected), Stopping: r.Stopping, Stored: r.Stored, AgeMs: ms(r.Age),
+			Alone: r.Alone, Exclusive: r.Exclusive,
 		})
 	}
 	return message
@@ -171,8 +175,41 @@
 		h.Runs = append(h.Runs, placement.HandedRun{
 			Home: r.GetHome(), Ref: r.GetRef(), Task: r.GetTask(), Run: int(r.GetRun()), Queue: r.GetQueue(),
 			Need: resourcesFromWire(r.GetNeed()), Expected: fromMS(r.GetExpectedMs()), Stopping: r.GetStopping(),
-			Stored: r.GetStored(), Age: fromMS(r.GetAgeMs()),
+			Stored: r.GetStored(), Age: fromMS(r.GetAgeMs()), Alone: r.GetAlone(), Exclusive: r.GetExclusive(),
 		})
 	}
 	return h
 }
+
+func targetLossToWire(l *placement.TargetLoss) *wire.TargetLoss {
+	if l == nil {
+		return nil
+	}
+	return &wire.TargetLoss{
+		Address: l.Address, BornUnixMs: l.BootUnixMS, Alone: l.Alone, Newest: l.Newest, Crashed: l.Crashed,
+	}
+}
+
+func targetLossFromWire(l *wire.TargetLoss) *placement.TargetLoss {
+	if l == nil {
+		return nil
+	}
+	return &placement.TargetLoss{
+		Address: l.GetAddress(), BootUnixMS: l.GetBornUnixMs(), Alone: l.GetAlone(), Newest: l.GetNewest(), Crashed: l.GetCrashed(),
+	}
+}
+
+func runLossToWire(l *placement.RunLoss) *wire.RunLoss {
+	if l == nil {
+		return nil
+	}
+	return &wire.RunLoss{Run: int32(l.Run), Target: l.Target, Loss: targetLossToWire(&l.TargetLoss)}
+}
+
+func runLossFromWire(l *wire.RunLoss) placement.RunLoss {
+	loss := placement.RunLoss{Run: int(l.GetRun()), Target: l.GetTarget()}
+	if target := targetLossFromWire(l.GetLoss()); target != nil {
+		loss.TargetLoss = *target
+	}
+	return loss
+}
--- a/cluster/convert_test.go
+++ b/cluster/convert_test.go
@@ -18,6 +18,9 @@
 		for i := range v.NumField() {
 			fill(v.Field(i))
 		}
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem())
 	case reflect.Slice:
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
 		fill(v.Index(0))
@@ -60,6 +63,10 @@
 		reports := []placement.Report{filled[placement.Report]()}
 		Expect(reportsFromWire(reportsToWire(reports))).To(Equal(reports))
 	})
+	It("of a lost run", func() {
+		loss := filled[placement.RunLoss]()
+		Expect(runLossFromWire(runLossToWire(&loss))).To(Equal(loss))
+	})
 	It("of available targets", func() {
 		targets := []placement.AvailableTarget{filled[placement.AvailableTarget]()}
 		Expect(availabilityFromWire(availabilityToWire(targets))).To(Equal(targets))
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -196,6 +196,10 @@
 		c.recorder.recordEnd(&e)
 	case placement.GiveUpRun:
 		c.recorder.recordGiveUp(&e)
+	case placement.RecordLoss:
+		c.recorder.recordLoss(&e)
+	case placement.FailTask:
+		c.recorder.recordTaskFailure(&e)
 	case placement.AvailabilityChanged:
 		l.availabilityDirty = true
 	case placement.AvailabilityCorrected:
--- a/cluster/recorder.go
+++ b/cluster/recorder.go
@@ -68,12 +68,32 @@
 func (r *recorder) recordGiveUp(e *placement.GiveUpRun) {
 	r.enqueue(queuedCommand{
 		command: &wire.JobCommand{Body: &wire.JobCommand_GiveUp{
-			GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int32(e.Run)},
+			GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int32(e.Run), Loss: runLossToWire(e.Loss)},
 		}},
 		job: placement.JobID(e.Task),
 	})
 }
 
+// recordLoss records that a target has crashed under a run, or that it has not.
+func (r *recorder) recordLoss(e *placement.RecordLoss) {
+	r.enqueue(queuedCommand{
+		command: &wire.JobCommand{Body: &wire.JobCommand_Loss{
+			Loss: &wire.TaskLoss{Task: e.Task, Loss: runLossToWire(&e.Loss), Cleared: e.Cleared},
+		}},
+		job: placement.JobID(e.Task),
+	})
+}
+
+// recordTaskFailure records the failures of a task that is given up.
+func (r *recorder) recordTaskFailure(e *placement.FailTask) {
+	for run := e.First; run <= e.Last; run++ {
+		r.enqueue(queuedCommand{
+			command: &wire.JobCommand{Body: &wire.JobCommand_End{End: &wire.RunEnd{Task: e.Task, Run: int32(run)}}},
+			job:     placement.JobID(e.Task),
+		})
+	}
+}
+
 // run writes batches until the context ends.
 func (r *recorder) run(ctx context.Context) error {
 	for {
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -92,6 +92,9 @@
 			for _, run := range tasks[i].Failed {
 				progress[i].LastFailed = max(progress[i].LastFailed, run)
 			}
+			for _, loss := range tasks[i].Losses {
+				progress[i].Losses = append(progress[i].Losses, runLossFromWire(loss))
+			}
 		}
 		change.Tasks = append(change.Tasks, progress)
 	}
--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -25,6 +25,7 @@
 	expiredLeaseEnd time.Duration // end of the last lease that expired
 	records         []RunRecord
 	violations      []string
+	crashAt         time.Duration // 0: no run crashes the runner
 }
 
 // RunRecord is a run that has ended.
@@ -49,6 +50,9 @@
 	// acknowledged before the lease expires. Either may be nil.
 	OnStart    func(now time.Duration, task string)
 	OnEndAcked func(end placement.EndedEntry, ended time.Duration)
+	// CrashAfter returns how long after its start a task crashes the runner, or false. It
+	// may be nil.
+	CrashAfter func(task string) (time.Duration, bool)
 }
 
 type runKey struct {
@@ -194,6 +198,7 @@
 		run.kind = placement.EndFailed
 	}
 	r.runs[key] = run
+	r.noteCrash(now, o.Task)
 	if r.options.OnStart != nil {
 		r.options.OnStart(now, o.Task)
 	}
@@ -247,5 +252,5 @@
 func (r *Runner) Restart(bootUnixMS int64) {
 	r.Description.BootUnixMS, r.Description.Sequence = bootUnixMS, 0
 	r.token, r.leaseEnd, r.lastEnd, r.unackedEnds, r.expiredLeaseEnd = 0, 0, 0, nil, 0
-	r.runs, r.highestRun = map[runKey]*activeRun{}, map[string]int{}
+	r.runs, r.highestRun, r.crashAt = map[runKey]*activeRun{}, map[string]int{}, 0
 }
--- a/jobtable/table.go
+++ b/jobtable/table.go
@@ -32,9 +32,10 @@
 
 // Task is the recorded progress of a task.
 type Task struct {
-	DoneRun int   // run that has ended as done; 0: none
-	Floor   int   // runs up to this number are ended or given up
-	Failed  []int // runs that have failed
+	DoneRun int             // run that has ended as done; 0: none
+	Floor   int             // runs up to this number are ended or given up
+	Failed  []int           // runs that have failed
+	Losses  []*wire.RunLoss // runs that were lost with targets that may have crashed under them
 }
 
 // Done reports whether a run of the task has ended as done.
@@ -111,6 +112,8 @@
 		return t.cancel(body.Cancel)
 	case *wire.JobCommand_Move:
 		return t.move(body.Move)
+	case *wire.JobCommand_Loss:
+		return t.recordLoss(body.Loss)
 	}
 	return wire.CommandVerdict_COMMAND_VERDICT_UNKNOWN_JOB, nil
 }
@@ -176,6 +179,7 @@
 		return verdictTaken, []*Job{j} // the home gets the recorded progress again
 	}
 	task.Floor = int(c.GetRun())
+	task.addLoss(c.GetLoss())
 	return verdictTaken, []*Job{j}
 }
 
@@ -261,7 +265,7 @@
 }
 
 func taskToWire(step int, t *Task) *wire.StoredTask {
-	stored := &wire.StoredTask{Step: int32(step), DoneRun: int32(t.DoneRun), Floor: int32(t.Floor)}
+	stored := &wire.StoredTask{Step: int32(step), DoneRun: int32(t.DoneRun), Floor: int32(t.Floor), Losses: t.Losses}
 	for _, run := range t.Failed {
 		stored.Failed = append(stored.Failed, int32(run))
 	}
@@ -299,7 +303,7 @@
 		if step != len(j.Tasks)-1 {
 			return errors.NotValidf("snapshot of job %s with a task of step %d", j.ID, step)
 		}
-		task := Task{DoneRun: int(s.GetDoneRun()), Floor: int(s.GetFloor())}
+		task := Task{DoneRun: int(s.GetDoneRun()), Floor: int(s.GetFloor()), Losses: s.GetLosses()}
 		for _, run := range s.GetFailed() {
 			task.Failed = append(task.Failed, int(run))
 		}
--- a/placement/core.go
+++ b/placement/core.go
@@ -53,6 +53,11 @@
 	logConfirmedAt  time.Duration // a time before the last such read
 	storedSuspended bool          // the runs of stored jobs have been stopped since
 
+	suspects         []*task                     // tasks with losses
+	lostTargets      []lostTarget                // that may have crashed, lost here
+	remembered       map[string]rememberedLosses // by job
+	crashesCheckedAt time.Duration
+
 	lastExpiry        time.Duration
 	availabilityDirty bool // available targets have changed since the last Ready
 	scheduleDue       bool
@@ -78,6 +83,7 @@
 		peerHeardAt:   map[string]time.Duration{},
 		reports:       map[string][]queuedReport{},
 		handOvers:     map[string][]sentHandOver{},
+		remembered:    map[string]rememberedLosses{},
 	}
 }
 
@@ -188,6 +194,7 @@
 		if !c.draining && t.usable(c.now) {
 			available = append(available, AvailableTarget{
 				Target: id, Service: t.Service, Labels: t.Labels, Free: t.free(), Suspect: t.health.suspect(c.now),
+				Idle: len(t.runs) == 0, Address: t.Address, BootUnixMS: t.BootUnixMS,
 			})
 		}
 	}
@@ -266,6 +273,7 @@
 	c.expireHandOvers()
 	c.expireReports()
 	c.checkPeers()
+	c.checkCrashes()
 	c.scheduleDue = true
 	if c.draining {
 		c.handOverTargets()
--- a/placement/events.go
+++ b/placement/events.go
@@ -93,6 +93,8 @@
 	Running []RunningEntry
 	Ended   []EndedEntry
 	Reason  string
+	// ConnectionRefused reports that no process listens at the target's address.
+	ConnectionRefused bool
 }
 
 // TargetsRestored lists the targets that an earlier process of this coordinator
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -84,6 +84,7 @@
 		handOver.Runs = append(handOver.Runs, HandedRun{
 			Home: home, Ref: r.ref, Task: r.key.task, Run: r.key.run, Queue: r.queue,
 			Need: r.need, Expected: r.expected, Stopping: r.stopping, Stored: r.stored, Age: c.now - r.orderedAt,
+			Alone: !r.accompanied, Exclusive: r.exclusive,
 		})
 	}
 	delete(c.targets, t.ID)
@@ -178,6 +179,7 @@
 		r := &run{
 			key: runKey{h.Task, h.Run}, home: h.Home, ref: h.Ref, queue: h.Queue, need: h.Need,
 			expected: h.Expected, orderedAt: c.now - h.Age, confirmed: true, confirmedAt: c.now, stopping: h.Stopping, stored: h.Stored,
+			accompanied: !h.Alone, exclusive: h.Exclusive,
 		}
 		t.runs[r.key] = r
 		t.used = t.used.Add(r.need)
--- a/placement/home.go
+++ b/placement/home.go
@@ -47,6 +47,9 @@
 	avoid     string        // target that the last run failed on
 	mayBeDone bool          // of a stored job: the last run may count as done
 	notBefore time.Duration
+	losses    []loss // of runs that may have crashed their targets
+	trial     bool   // the last run is alone on its target
+	convicted bool   // has crashed its targets; is not started again
 }
 
 func (t *task) name() string { return taskName(t.job.ID, t.step, t.index) }
@@ -70,6 +73,7 @@
 	c.jobs[j.ID] = j
 	c.callers[j.caller] = j
 	c.enqueue(j)
+	c.recallLosses(j)
 }
 
 func newJob(from *Job, now time.Duration) *job {
@@ -226,6 +230,7 @@
 	if !j.ending || j.inFlight > 0 || c.jobs[j.ID] != j {
 		return
 	}
+	c.rememberLosses(j)
 	delete(c.jobs, j.ID)
 	delete(c.callers, j.caller)
 	c.dequeue(j)
@@ -304,6 +309,7 @@
 	case RunRejected, RunStopped:
 		t.avoid = report.Target
 	}
+	c.recordLoss(t, &report)
 	switch {
 	case j.ending:
 		c.removeEnded(j)
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -32,7 +32,7 @@
 		i, known := positions[t.Target]
 		switch {
 		case known && t.Service == "":
-			p.targets[i].Free, p.targets[i].Suspect = t.Free, t.Suspect
+			p.targets[i].Free, p.targets[i].Suspect, p.targets[i].Idle = t.Free, t.Suspect, t.Idle
 		case known:
 			p.targets[i] = t
 		case t.Service != "":
@@ -118,7 +118,7 @@
 		}
 		c.startRun(t, &run{
 			key: runKey{p.Task, p.Run}, home: e.Peer, ref: p.Ref, queue: p.Queue,
-			need: p.Need, expected: p.Expected, stored: p.Stored,
+			need: p.Need, expected: p.Expected, stored: p.Stored, exclusive: p.Alone, suspect: p.Suspect,
 		}, p.Spec)
 	}
 }
@@ -129,11 +129,14 @@
 	if c.draining {
 		return nil
 	}
+	if p.Alone {
+		return c.idleTarget(p)
+	}
 	var best *target
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
 		if t.Service != p.Service || !matches(t.Labels, p.Requirement) || !p.Need.Fits(t.free()) ||
-			!t.usable(c.now) || id == p.Avoid || t.runs[runKey{p.Task, p.Run}] != nil {
+			!t.usable(c.now) || id == p.Avoid || p.Suspect && t.hasSuspect() || t.runs[runKey{p.Task, p.Run}] != nil {
 			continue
 		}
 		if id == p.Target {
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -42,6 +42,7 @@
 		c.dropTarget(t, "response from another boot", 0)
 		return
 	}
+	t.refuses = e.ConnectionRefused
 	if e.Result != Unknown {
 		t.setClock(c.now, e.ClockMS)
 	}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -35,6 +35,7 @@
 	for _, j := range c.queue {
 		c.place(j, requests)
 	}
+	c.placeTrials(requests)
 	c.queue = slices.DeleteFunc(c.queue, func(j *job) bool {
 		j.queued = j.queued && j.hasWaiting()
 		return !j.queued
@@ -82,7 +83,13 @@
 				c.giveUpLastRun(t)
 				continue
 			}
+			if !c.mayShareTarget(t) {
+				continue // placeTrials
+			}
 			if !c.placeTask(j, t, requests) {
+				if t.suspected() {
+					continue // others may run beside a suspect
+				}
 				break
 			}
 			placed = append(placed, t.location())
@@ -123,8 +130,16 @@
 	if !ok {
 		return false
 	}
+	c.placeOn(&best, t, false, requests)
+	return true
+}
+
+// placeOn starts a task on a target, or requests this of its owner.
+func (c *Core) placeOn(best *candidate, t *task, alone bool, requests map[string][]Placement) {
+	j, step := t.job, &t.job.Steps[t.step]
 	c.lastRef++
 	t.ref, t.runs, t.state, t.placedAt = c.lastRef, t.runs+1, starting, c.now
+	t.trial = alone
 	c.placements[t.ref] = t
 	j.inFlight++
 	j.started = true
@@ -132,18 +147,18 @@
 		t.target = best.target.ID
 		c.startRun(best.target, &run{
 			key: runKey{t.name(), t.runs}, ref: t.ref, queue: j.Queue,
-			need: step.Need, expected: step.Expected, stored: j.Stored,
+			need: step.Need, expected: step.Expected, stored: j.Stored, exclusive: alone, suspect: t.suspected(),
 		}, j.Spec)
-		return true
+		return
 	}
 	best.remote.Free = best.remote.Free.Sub(step.Need)
+	best.remote.Idle = false
 	t.peer, t.target = best.peer.name, best.remote.Target
 	requests[t.peer] = append(requests[t.peer], Placement{
 		Ref: t.ref, Task: t.name(), Run: t.runs, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Need: step.Need, Expected: step.Expected, Requirement: step.Requirement, Rack: step.Rack,
-		Target: t.target, Avoid: t.avoid, Stored: j.Stored,
+		Target: t.target, Avoid: t.avoid, Stored: j.Stored, Alone: alone, Suspect: t.suspected(),
 	})
-	return true
 }
 
 // bestCandidate returns the best target for a task: near its data, healthy, owned
@@ -153,7 +168,8 @@
 	found := false
 	for _, owned := range c.targets {
 		if owned.Service != j.Service || !matches(owned.Labels, step.Requirement) ||
-			!step.Need.Fits(owned.free()) || !owned.usable(c.now) || c.atPerTargetLimit(t, step, owned.ID) {
+			!step.Need.Fits(owned.free()) || !owned.usable(c.now) || c.atPerTargetLimit(t, step, owned.ID) ||
+			t.suspected() && owned.hasSuspect() {
 			continue
 		}
 		option := candidate{target: owned, score: c.score(t, step, owned.ID, owned.Labels, owned.free())}
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -116,6 +116,9 @@
 			for _, run := range tasks[i].Failed {
 				p.LastFailed = max(p.LastFailed, run)
 			}
+			for _, l := range tasks[i].Losses {
+				p.Losses = append(p.Losses, lossFromLog(l))
+			}
 			progress = append(progress, p)
 		}
 		change.Tasks = append(change.Tasks, progress)
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -5,13 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"hawthornshore.example/emulator"
 	"hawthornshore.example/jobtable"
 	"hawthornshore.example/placement"
-	"hawthornshore.example/wire"
 )
 
 const (
@@ -65,6 +63,7 @@
 	failureRate  float64 // share of runs that fail
 	storedShare  float64 // share of jobs that are stored
 	log          *simLog
+	crashes      *simCrashes
 }
 
 type simCoordinator struct {
@@ -87,6 +86,9 @@
 	partitioned bool
 	gone        bool
 	ready       bool
+	down        bool     // has crashed
+	dark        bool     // its host does not respond while it is down
+	formerIDs   []string // of earlier boots
 	polls       []*pendingPoll
 }
 
@@ -106,6 +108,7 @@
 		delays:     map[string]time.Duration{},
 		jobs:       map[string]placement.Job{},
 		log:        newSimLog(),
+		crashes:    newSimCrashes(),
 	}
 	for i := range cores {
 		c := &simCoordinator{name: fmt.Sprintf("c%d", i), disconnected: map[string]bool{}}
@@ -126,29 +129,6 @@
 	s.startLog(c)
 }
 
-func (s *simulation) addTarget(i int) {
-	capacity := placement.Resources{CPUMillis: 32000 + 16000*int64(i%3/2), MemoryMB: 1000}
-	t := &simTarget{home: i % len(s.coordinators), ready: true}
-	t.runner = emulator.NewRunner(placement.Description{
-		ID: fmt.Sprintf("t%d", i), Service: "desk", Address: "a", Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
-		Capacity: capacity, BootUnixMS: 1 + int64(i),
-	}, emulator.RunnerOptions{
-		Lease: simLease, StopTime: simStopTime,
-		Work: func(string, int) (time.Duration, bool) {
-			return time.Duration(20+s.random.IntN(400)) * time.Millisecond, s.random.Float64() < s.failureRate
-		},
-		Need: s.need, OnStart: s.log.OnStart, OnEndAcked: s.log.OnEndAcked,
-	})
-	s.targets = append(s.targets, t)
-	s.after(time.Duration(s.random.IntN(300))*time.Millisecond, func() { s.heartbeat(t) })
-}
-
-// need returns what a task was submitted with; its name is ID.0.STEP.INDEX.
-func (s *simulation) need(task string) placement.Resources {
-	id, _, _ := strings.Cut(task, ".")
-	return s.jobs[id].Steps[0].Need
-}
-
 func (s *simulation) after(d time.Duration, do func()) {
 	s.seq++
 	heap.Push(&s.events, &timedEvent{at: s.now + d, seq: s.seq, do: do})
@@ -264,7 +244,11 @@
 	case placement.RecordEnd:
 		s.recordEnd(c, e)
 	case placement.GiveUpRun:
-		s.propose(c, &wire.JobCommand{Body: &wire.JobCommand_GiveUp{GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int32(e.Run)}}}, nil)
+		s.giveUp(c, &e)
+	case placement.RecordLoss:
+		s.recordLoss(c, &e)
+	case placement.FailTask:
+		s.failTask(c, &e)
 	case placement.Decision:
 		if e.Event == "job_overdue" {
 			s.violations = append(s.violations, "job "+e.Job+" is overdue: a run's end was never reported")
@@ -288,6 +272,7 @@
 	if s.answers[e.Caller] > 1 {
 		s.violations = append(s.violations, fmt.Sprintf("job %s has two answers", e.JobID))
 	}
+	s.crashes.answered(e.JobID, e.Outcome)
 	switch e.Outcome {
 	case placement.Completed:
 		s.completed++
@@ -306,7 +291,7 @@
 
 func (s *simulation) target(id string) *simTarget {
 	for _, t := range s.targets {
-		if t.runner.Description.ID == id {
+		if t.runner.Description.ID == id || slices.Contains(t.formerIDs, id) {
 			return t
 		}
 	}
@@ -328,17 +313,18 @@
 	s.after(timeout, func() { reply(placement.OrderResponse{Order: id}) })
 	if s.random.Float64() < s.lossRate {
 		s.after(time.Duration(2+s.random.IntN(10))*time.Second, func() {
-			if !t.gone {
+			if !t.gone && !t.down && t.runner.Description.ID == target {
 				execute(t.runner)
 			}
 		})
 		return
 	}
 	s.after(s.delay(), func() {
-		if t.partitioned || t.gone {
+		if t.partitioned || t.gone || s.notThere(t, target, id, reply) {
 			return
 		}
 		result := execute(t.runner)
+		s.planCrash(t)
 		s.completePolls(t)
 		s.after(s.delay(), func() {
 			if !t.partitioned {
@@ -408,7 +394,7 @@
 		return
 	}
 	defer s.after(heartbeatInterval, func() { s.heartbeat(t) })
-	if t.partitioned {
+	if t.partitioned || t.down {
 		return
 	}
 	d := &t.runner.Description
@@ -423,7 +409,7 @@
 }
 
 func (s *simulation) deliverHeartbeat(t *simTarget) {
-	if !t.gone && !t.partitioned {
+	if !t.gone && !t.partitioned && !t.down {
 		s.step(s.coordinators[t.home], placement.Heartbeat{Description: t.runner.Description})
 	}
 }
@@ -435,7 +421,7 @@
 		s.store(job)
 		return
 	}
-	c := s.coordinators[s.random.IntN(len(s.coordinators))]
+	c := s.crashes.homeOf(job.ID, s.coordinators[s.random.IntN(len(s.coordinators))])
 	if c.down || c.paused {
 		s.resubmit(job.ID)
 		return
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -35,6 +35,7 @@
 	Floor      int // runs up to this one no longer count
 	Failures   int
 	LastFailed int // highest run that has failed
+	Losses     []RunLoss
 }
 
 // LogReadConfirmed reports that the log was read to its end, and had been applied here,
@@ -64,6 +65,7 @@
 type GiveUpRun struct {
 	Task string
 	Run  int
+	Loss *RunLoss // if the target may have crashed under the run
 }
 
 // takeOverDelay is how long a new home waits until no order and no run of the
@@ -163,6 +165,11 @@
 		}
 	}
 	c.jobs[j.ID] = j
+	for step := range j.tasks {
+		for index, t := range j.tasks[step] {
+			c.restoreLosses(t, e.Tasks[step][index].Losses)
+		}
+	}
 	c.logDecision(Decision{
 		Event: "stored_job_adopted", Job: j.ID, Reason: "epoch " + strconv.Itoa(e.Epoch), Value: int64(j.remaining),
 	})
@@ -184,6 +191,7 @@
 		return
 	}
 	t.failures = p.Failures
+	c.restoreLosses(t, p.Losses)
 	switch {
 	case p.Done:
 		c.clearPlacement(t)
@@ -224,12 +232,13 @@
 	default:
 		t.mayBeDone, t.notBefore = true, c.now+report.SafeAfter
 	}
+	c.recordLoss(t, report)
 	c.enqueue(t.job)
 }
 
 // giveUpLastRun requests a record that the task's last run no longer counts.
 func (c *Core) giveUpLastRun(t *task) {
-	c.emit(GiveUpRun{Task: t.name(), Run: t.runs})
+	c.emit(GiveUpRun{Task: t.name(), Run: t.runs, Loss: t.lossOf(t.runs)})
 	t.notBefore = c.now + giveUpRetryDelay
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -36,6 +36,9 @@
 	stopSent    bool
 	stopSentAt  time.Duration // when the stop was sent
 	unknown     bool          // found on the target, from an earlier owner
+	accompanied bool          // another run has been on the target since the start
+	exclusive   bool          // no other run may be started on the target
+	suspect     bool          // may crash its target
 }
 
 // target is a target that this coordinator owns or is about to own.
@@ -58,6 +61,8 @@
 	failedPolls    int                    // failed polls in a row
 	owned          bool                   // has been ready under this coordinator
 	health         health
+	refuses        bool          // the last order found no process at the address
+	reservedUntil  time.Duration // until then only a run that has to be alone may be started
 }
 
 func (t *target) ref() TargetRef { return TargetRef{ID: t.ID, Address: t.Address} }
@@ -86,6 +91,11 @@
 
 // usable reports whether the target may get starts.
 func (t *target) usable(now time.Duration) bool {
+	return t.serviceable(now) && !t.setAside(now)
+}
+
+// serviceable reports whether the target may get starts unless it is set aside.
+func (t *target) serviceable(now time.Duration) bool {
 	return t.state == ready && !t.Draining && t.failedPolls == 0 && !t.leaseWithheld() &&
 		now-t.heartbeatAt < heartbeatTimeout && t.health.admits(now, len(t.runs))
 }
@@ -196,6 +206,7 @@
 
 // targetDeregistered processes the shutdown of a target.
 func (c *Core) targetDeregistered(e TargetDeregistered) {
+	c.acquitTarget(e.Target, e.BootUnixMS)
 	t := c.targets[e.Target]
 	if t == nil || e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS {
 		return
@@ -208,6 +219,7 @@
 
 func (c *Core) targetDraining(e TargetDraining) {
 	c.drainingBoots[e.Target] = e.BootUnixMS
+	c.acquitTarget(e.Target, e.BootUnixMS)
 	if t := c.targets[e.Target]; t != nil && t.BootUnixMS == e.BootUnixMS && !t.Draining {
 		t.Draining = true
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID, Reason: "reported by a peer"})
@@ -224,8 +236,10 @@
 		if !r.confirmed {
 			report.SafeAfter = max(safeAfter, c.options.Lease+orderTimeout) // the start may still arrive
 		}
+		report.Loss = t.lossOf(r, reason)
 		c.reportHome(t, r, report)
 	}
+	c.watchLost(t, reason)
 	c.logDecision(Decision{Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs))})
 	c.availabilityChanged()
 }
@@ -294,6 +308,7 @@
 // startRun orders the start of a run. The caller has checked that it fits.
 func (c *Core) startRun(t *target, r *run, spec string) {
 	r.orderedAt = c.now
+	t.noteNeighbours(r)
 	t.runs[r.key] = r
 	t.used = t.used.Add(r.need)
 	id := c.newOrder(&order{kind: startOrder, target: t, run: r, token: t.token, sentAt: c.now})
--- a/placement/types.go
+++ b/placement/types.go
@@ -127,6 +127,10 @@
 	Labels  []string
 	Free    Resources
 	Suspect bool // considered last: has failed a run or is slow
+	Idle    bool // without runs
+
+	Address    string // empty in an update, as Service
+	BootUnixMS int64
 }
 
 // Placement is a request to another coordinator to run a task.
@@ -144,6 +148,8 @@
 	Target      string // chosen by the home; the owner may use another one
 	Avoid       string // target on which the task has failed
 	Stored      bool
+	Alone       bool // no other run may be on the target at the same time
+	Suspect     bool // may crash its target; runs beside no other suspect
 }
 
 // ReportKind is the state of a placement in a report.
@@ -170,7 +176,24 @@
 	Target    string
 	SafeAfter time.Duration
 	Reason    string
-	Token     uint64 // the sender's fencing token for the target; a later owner's is higher
+	Token     uint64      // the sender's fencing token for the target; a later owner's is higher
+	Loss      *TargetLoss // of RunLost, if the target may have crashed under the run
+}
+
+// TargetLoss describes a target that was lost with a run and may have crashed.
+type TargetLoss struct {
+	Address    string
+	BootUnixMS int64
+	Alone      bool // no other run was there at the same time
+	Newest     bool // the process has ended, and no run there was started later
+	Crashed    bool // a later boot was seen
+}
+
+// RunLoss is a run of a task that was lost with its target.
+type RunLoss struct {
+	Run    int
+	Target string
+	TargetLoss
 }
 
 // RunningEntry is a run that a target lists as running.
@@ -220,6 +243,9 @@
 	Stopping bool
 	Stored   bool
 	Age      time.Duration
+
+	Alone     bool // no other run has been there since its start
+	Exclusive bool // no other run may be started there
 }
 
 // JobID returns the ID of the job that a task belongs to.
