--- a/placement/crashes.go
+++ b/placement/crashes.go
@@ -22,6 +22,7 @@
 const (
 	droppedSilent    = "silent"
 	droppedRestarted = "restarted"
+	droppedOtherBoot = "response from another boot"
 )
 
 // lostTarget is a target that was lost here and may have crashed.
@@ -45,12 +46,19 @@
 // lossOf describes the loss of a run with its target, or returns nil if the target
 // has not crashed: it was stopped as planned, or has another owner.
 func (t *target) lossOf(r *run, reason string) *TargetLoss {
-	if t.Draining || reason != droppedSilent && reason != droppedRestarted {
+	if t.Draining {
 		return nil
 	}
-	restarted := reason == droppedRestarted
-	loss := &TargetLoss{
-		Address: t.Address, BootUnixMS: t.BootUnixMS, Alone: !r.accompanied, Crashed: restarted, Newest: t.refuses || restarted,
+	loss := &TargetLoss{Address: t.Address, BootUnixMS: t.BootUnixMS, Alone: !r.accompanied}
+	switch reason {
+	case droppedSilent:
+		loss.Newest = t.refuses
+	case droppedOtherBoot: // which may be an earlier one
+		loss.Newest = true
+	case droppedRestarted:
+		loss.Newest, loss.Crashed = true, true
+	default:
+		return nil
 	}
 	for _, other := range t.runs {
 		loss.Newest = loss.Newest && other.orderedAt <= r.orderedAt
