--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -224,15 +224,24 @@
 	return slices.ContainsFunc(t.losses, func(l loss) bool { return l.trial && l.verdict == undecided })
 }
 
-// trialLimit returns how many targets this home may use for trials.
+// trialLimit returns how many targets this home may use for trials. Targets that are
+// missing already leave fewer, but one.
 func (c *Core) trialLimit() int {
 	targets, homes := len(c.targets), 1
 	for _, p := range c.peers {
 		targets += len(p.targets)
 		homes++
 	}
+	missing := map[string]bool{}
+	for _, t := range c.suspects {
+		for i := range t.losses {
+			if l := &t.losses[i]; l.verdict == undecided && !l.trial {
+				missing[l.Target] = true
+			}
+		}
+	}
 	share := trialShare * homes
-	return max((targets+share-1)/share, 1)
+	return max((targets+share-1)/share-len(missing), 1)
 }
 
 // placeTrials starts suspects alone on targets: those with the fewest losses first,
