--- a/emulator/crash.go
+++ b/emulator/crash.go
@@ -13,11 +13,5 @@
 }
 
 // CrashAt returns when a run crashes the runner, or false. The caller emulates the
-// crash at that time, and calls Restart at the next boot.
+// crash at that time, and calls Reboot.
 func (r *Runner) CrashAt() (time.Duration, bool) { return r.crashAt, r.crashAt > 0 }
-
-// Reborn emulates the next boot under another ID at the same address.
-func (r *Runner) Reborn(id string, bootUnixMS int64) {
-	r.Restart(bootUnixMS)
-	r.Description.ID = id
-}
--- a/placement/crashes.go
+++ b/placement/crashes.go
@@ -53,9 +53,7 @@
 	switch reason {
 	case droppedSilent:
 		loss.Newest = t.refuses
-	case droppedOtherBoot: // which may be an earlier one
-		loss.Newest = true
-	case droppedRestarted:
+	case droppedOtherBoot, droppedRestarted:
 		loss.Newest, loss.Crashed = true, true
 	default:
 		return nil
--- a/placement/simcrashes_test.go
+++ b/placement/simcrashes_test.go
@@ -12,8 +12,7 @@
 
 const (
 	crashDelay   = 10 * time.Millisecond // from the start of a deadly task to the crash
-	crashOutage  = 3200 * time.Millisecond
-	crashesAtEnd = 3 // after so many crashes under a task it may not be started three times more
+	crashesAtEnd = 3                     // after so many crashes under a task it may not be started three times more
 )
 
 // simCrashes are the tasks that crash each target that starts them.
@@ -24,15 +23,16 @@
 	outcomes map[string]placement.Outcome
 	homes    map[string]*simCoordinator // of jobs that are not stored
 	total    int
-	dark     bool    // crashed hosts do not respond
-	share    float64 // of the jobs
-	newIDs   bool    // targets return under another ID
+	dark     bool          // crashed hosts do not respond
+	share    float64       // of the jobs
+	newIDs   bool          // targets return under another ID
+	outage   time.Duration // of a target that has crashed
 }
 
 func newSimCrashes() *simCrashes {
 	return &simCrashes{
 		jobs: map[string]bool{}, crashes: map[string]int{}, late: map[string]int{}, outcomes: map[string]placement.Outcome{},
-		homes: map[string]*simCoordinator{},
+		homes: map[string]*simCoordinator{}, outage: 3200 * time.Millisecond,
 	}
 }
 
@@ -81,16 +81,17 @@
 
 func (s *simulation) addTarget(i int) {
 	capacity := placement.Resources{CPUMillis: 32000 + 16000*int64(i%3/2), MemoryMB: 1000}
-	t := &simTarget{home: i % len(s.coordinators), ready: true}
+	t := &simTarget{home: i % len(s.coordinators), ready: true, paths: map[string]*simPath{}}
 	t.runner = emulator.NewRunner(placement.Description{
 		ID: fmt.Sprintf("t%d", i), Service: "desk", Address: fmt.Sprintf("a%d", i), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 		Capacity: capacity, BootUnixMS: 1 + int64(i),
 	}, emulator.RunnerOptions{
 		Lease: simLease, StopTime: simStopTime,
 		Work: func(string, int) (time.Duration, bool) {
-			return time.Duration(20+s.random.IntN(400)) * time.Millisecond, s.random.Float64() < s.failureRate
+			return time.Duration(20+s.random.IntN(int(s.longestRun.Milliseconds())-20)) * time.Millisecond, s.random.Float64() < s.failureRate
 		},
-		Need: s.need, OnEndAcked: s.log.OnEndAcked, CrashAfter: s.crashes.crashAfter,
+		Percent: s.percent,
+		Need:    s.need, OnEndAcked: s.log.OnEndAcked, CrashAfter: s.crashes.crashAfter,
 		OnStart: func(now time.Duration, task string) {
 			s.log.OnStart(now, task)
 			s.crashes.started(task)
@@ -114,55 +115,60 @@
 	boot := t.runner.Description.BootUnixMS
 	s.after(max(at-s.now, 0), func() {
 		if !t.down && !t.gone && t.runner.Description.BootUnixMS == boot {
-			s.crash(t)
+			s.crashByTask(t)
 		}
 	})
 }
 
-// crash ends a target's process; the next boot follows after crashOutage.
-func (s *simulation) crash(t *simTarget) {
+// crashByTask ends a target's boot; the next one follows after the outage.
+func (s *simulation) crashByTask(t *simTarget) {
 	t.runner.Advance(s.now)
 	for _, task := range t.runner.RunningTasks() {
 		s.crashes.crashes[task]++
 	}
 	s.crashes.total++
-	t.down, t.dark = true, s.crashes.dark
+	t.boots++
+	t.down, t.refuses = true, !s.crashes.dark
 	id := t.runner.Description.ID
 	t.formerIDs = append(t.formerIDs, id)
 	if s.crashes.newIDs {
-		t.runner.Reborn(fmt.Sprintf("%s.%d", t.formerIDs[0], len(t.formerIDs)), s.now.Milliseconds())
-	} else {
-		t.runner.Restart(s.now.Milliseconds())
+		t.runner.Description.ID = fmt.Sprintf("%s.%d", t.formerIDs[0], len(t.formerIDs))
 	}
+	t.runner.Reboot(s.now, s.now.Milliseconds(), 1)
 	for _, l := range t.polls {
 		l.done = true
-		if !t.dark {
+		if t.refuses {
 			l.answer(placement.OrderResponse{Order: l.order.Order})
 		}
 	}
 	t.polls = nil
-	s.after(crashOutage, func() {
+	s.after(s.crashes.outage, func() {
 		t.down = false
-		t.runner.Description.Sequence++
-		t.runner.Description.ClockMS = s.now.Milliseconds()
-		s.deliverHeartbeat(t)
+		s.firstHeartbeat(t)
 	})
 }
 
-// notThere reports whether an order finds no process, or another target at its address,
-// and responds to it.
-func (s *simulation) notThere(t *simTarget, target string, order uint64, reply func(placement.OrderResponse)) bool {
-	response := placement.OrderResponse{Order: order, Result: placement.Unavailable, ConnectionRefused: true}
-	switch {
-	case t.down && t.dark:
-		return true
-	case t.down:
-	case t.runner.Description.ID != target:
-		response = placement.OrderResponse{Order: order, Result: placement.OtherBoot, BootUnixMS: t.runner.Description.BootUnixMS}
-	default:
+// refuseIfDown responds to an order whose target has crashed, unless its host is silent.
+func (s *simulation) refuseIfDown(t *simTarget, order uint64, reply func(placement.OrderResponse)) {
+	if s.crashes.share == 0 {
+		return
+	}
+	s.after(s.delay(), func() {
+		if t.down && t.refuses && !t.partitioned {
+			reply(placement.OrderResponse{Order: order, Result: placement.Unavailable, ConnectionRefused: true})
+		}
+	})
+}
+
+// hasOtherID reports whether an order finds another target at the address, and responds
+// to it.
+func (s *simulation) hasOtherID(t *simTarget, target string, order uint64, reply func(placement.OrderResponse)) bool {
+	if t.runner.Description.ID == target {
 		return false
 	}
-	s.after(s.delay(), func() { reply(response) })
+	s.after(s.delay(), func() {
+		reply(placement.OrderResponse{Order: order, Result: placement.OtherBoot, BootUnixMS: t.runner.Description.BootUnixMS})
+	})
 	return true
 }
 
