Suspect a start without a response on a boot that has ended

A deadly task crashes its target within milliseconds, so its start may have no response. If the next boot of the same ID was seen before the target was dropped as silent, the run was taken for one that the new boot may yet start, and then for rejected: no loss was recorded. The loss is now kept with the run and reported with the rejection. The spec "may have crashed it by a start without a response" failed before. It also showed that a task never got its trial if the only target was the one to avoid; that one is now the last choice.

The lines on lost targets carry the boot in its own field.

--- a/placement/crashes.go
+++ b/placement/crashes.go
@@ -172,6 +172,14 @@
 
 func (c *Core) logLost(lost *lostTarget, d Decision) {
 	d.Target, d.Reason = lost.id, strings.Join(lost.runs, " ")
-	d.Age, d.Value = c.now-lost.at, lost.loss.BootUnixMS
+	d.Age, d.BootUnixMS, d.Value = c.now-lost.at, lost.loss.BootUnixMS, int64(len(lost.runs))
 	c.logDecision(d)
 }
+
+// lossInFlight keeps the loss of runs that the next boot of a target may start yet: if
+// it does not, the earlier one may have.
+func (t *target) lossInFlight(inFlight map[runKey]*run) {
+	for _, r := range inFlight {
+		r.crash = t.lossOf(r, droppedRestarted)
+	}
+}
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -61,7 +61,7 @@
 
 // recordLoss makes the task of a lost run a suspect if the target may have crashed.
 func (c *Core) recordLoss(t *task, report *Report) {
-	if report.Kind != RunLost || report.Loss == nil {
+	if report.Loss == nil {
 		return
 	}
 	l := loss{RunLoss: RunLoss{Run: t.runs, Target: report.Target, TargetLoss: *report.Loss}, at: c.now, trial: t.trial}
@@ -300,7 +300,7 @@
 		for i := range p.targets {
 			remote := &p.targets[i]
 			if p.silent || p.draining || remote.Service != t.job.Service || !matches(remote.Labels, step.Requirement) ||
-				!step.Need.Fits(remote.Free) || remote.Target == t.avoid || idle && !remote.Idle {
+				!step.Need.Fits(remote.Free) || idle && !remote.Idle {
 				continue
 			}
 			option := candidate{peer: p, remote: remote, score: c.score(t, step, remote.Target, remote.Labels, remote.Free)}
@@ -325,17 +325,28 @@
 // fitsAlone reports whether a task may run alone on a target once that is idle.
 func (c *Core) fitsAlone(t *target, p *Placement) bool {
 	return t.Service == p.Service && matches(t.Labels, p.Requirement) && p.Need.Fits(t.Capacity) &&
-		t.serviceable(c.now) && t.ID != p.Avoid && !t.hasExclusive()
+		t.serviceable(c.now) && !t.hasExclusive()
 }
 
-// findIdle returns a target without runs, if possible on the rack of the data.
+// findIdle returns a target without runs: if possible not the one to avoid, and on the
+// rack of the data.
 func (c *Core) findIdle(p *Placement) *target {
 	var best *target
+	lowest := 0.0
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
-		if c.fitsAlone(t, p) && len(t.runs) == 0 && p.Need.Fits(t.free()) &&
-			(best == nil || onRack(t.Labels, p.Rack) && !onRack(best.Labels, p.Rack)) {
-			best = t
+		if !c.fitsAlone(t, p) || len(t.runs) > 0 || !p.Need.Fits(t.free()) {
+			continue
+		}
+		cost := 0.0
+		if id == p.Avoid {
+			cost += avoidCost
+		}
+		if !onRack(t.Labels, p.Rack) {
+			cost += otherRackCost
+		}
+		if best == nil || cost < lowest {
+			best, lowest = t, cost
 		}
 	}
 	return best
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -130,6 +130,24 @@
 		Expect(h.events()).To(ContainElement("task_crashed_target"))
 	})
 
+	// Guards against a crash that is missed, because the next boot of the same ID is there
+	// before the start was confirmed.
+	It("may have crashed it by a start without a response", func() {
+		h.submitPatient(1)
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+		d := description("t", 1)
+		d.BootUnixMS = 9
+		h.step(0, placement.Heartbeat{Description: d})
+		for range 2 { // a poll of the other boot, and one under a newer token
+			for _, poll := range h.polls("t") {
+				h.step(time.Millisecond, placement.OrderResponse{Order: poll.Order, Result: placement.OK, ClockMS: 100, BootUnixMS: 9})
+			}
+		}
+		Expect(h.events()).To(ContainElement("task_crashed_target"))
+		h.wait(500 * time.Millisecond)
+		Expect(h.events()).To(ContainElement("task_isolated"))
+	})
+
 	// Guards against a lost run that counts although its target drains: a planned stop.
 	It("is no suspect if the target was draining before", func() {
 		h.submitPatient(1)
--- a/placement/target.go
+++ b/placement/target.go
@@ -40,6 +40,7 @@
 	accompanied bool          // another run has been on the target since the start
 	exclusive   bool          // no other run may be started on the target
 	suspect     bool          // may crash its target
+	crash       *TargetLoss   // of the earlier boot, which may have started the run
 }
 
 // target is a target that this coordinator owns or is about to own.
@@ -155,9 +156,12 @@
 	for key, r := range old.runs {
 		if !r.listed {
 			inFlight[key] = r
-			delete(old.runs, key)
 		}
 	}
+	old.lossInFlight(inFlight)
+	for key := range inFlight {
+		delete(old.runs, key)
+	}
 	c.endedBoots.add(old.ID, old.BootUnixMS)
 	c.dropTarget(old, "restarted", bootOver)
 	t := c.adoptTarget(d, "restarted")
@@ -391,6 +395,9 @@
 	delete(t.runs, r.key)
 	t.used = t.used.Sub(r.need)
 	report.Ref, report.Target = r.ref, t.ID
+	if report.Kind == RunRejected {
+		report.Loss = r.crash
+	}
 	c.reportHome(t, r, report)
 	c.availabilityChanged()
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -177,7 +177,7 @@
 	SafeAfter time.Duration
 	Reason    string
 	Token     uint64      // the sender's fencing token for the target; a later owner's is higher
-	Loss      *TargetLoss // of RunLost, if the target may have crashed under the run
+	Loss      *TargetLoss // of RunLost and RunRejected, if the target may have crashed under the run
 }
 
 // TargetLoss describes a target that was lost with a run and may have crashed.
