Announce the capacity of a target when it changes

A target may shrink and grow while it runs. Its owner used the new capacity for its own starts with the next tick, but the other coordinators learned of it only when a run began or ended there: they sent placements that were rejected, or left new capacity unused. Starts beyond the present capacity did not happen; the specs "gets no start beyond" and "rejects placements beyond" passed before. The specs "has its free capacity announced at once" and "gets starts once its capacity has grown" failed before.

--- a/placement/target.go
+++ b/placement/target.go
@@ -136,7 +136,7 @@
 	if t == nil {
 		t = c.adoptTarget(d, "heartbeat")
 	}
-	wasDraining := t.Draining
+	wasDraining, oldCapacity := t.Draining, t.Capacity
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
@@ -145,6 +145,10 @@
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID})
 		c.availabilityChanged()
 	}
+	if t.Capacity != oldCapacity {
+		c.logDecision(Decision{Event: "target_resized", Target: t.ID, Value: t.Capacity.CPUMillis})
+		c.availabilityChanged()
+	}
 	c.pollIfNeeded(t)
 }
 
