Keep the newest description of a target at a hand-over

A hand-over that arrives after a later heartbeat of the same boot replaced the target's capacity, labels and sequence by earlier ones, until the next heartbeat. A capacity that had shrunk could be exceeded in that time. The spec "keeps its newest description at a hand-over" failed before. Another boot has a description of its own, so only those of one boot are compared.

--- a/placement/capacity_test.go
+++ b/placement/capacity_test.go
@@ -63,4 +63,14 @@
 		Expect(take[placement.AvailabilityChanged](h)).To(HaveLen(1))
 		Expect(h.core.AvailableTargets()).To(ConsistOf(HaveField("Free.CPUMillis", int64(2000))))
 	})
+
+	// Guards against an earlier capacity that a late hand-over brings back.
+	It("keeps its newest description at a hand-over", func() {
+		h.step(0, placement.Heartbeat{Description: resized(3, 16000)})
+		h.step(0, placement.HandOverReceived{Peer: "c1", HandOver: placement.HandOver{Description: resized(2, 32000), Token: 1 << 62}})
+		for _, poll := range h.polls("t") {
+			h.step(time.Millisecond, placement.OrderResponse{Order: poll.Order, Result: placement.OK, ClockMS: 1000, BootUnixMS: 7})
+		}
+		Expect(h.core.AvailableTargets()).To(ConsistOf(HaveField("Free.CPUMillis", int64(16000))))
+	})
 })
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -170,6 +170,7 @@
 			c.rejectHandOver(e.HandOver)
 			return
 		}
+		d = newestDescription(&old.Description, &d)
 		c.dropTarget(old, "handed over again", bootUncertain)
 	}
 	t := c.adoptTarget(d, "handed over")
@@ -187,3 +188,17 @@
 	}
 	c.pollIfNeeded(t)
 }
+
+// newestDescription returns the description of the later heartbeat. A heartbeat may
+// arrive here before a hand-over that carries an earlier one.
+func newestDescription(known, handedOver *Description) Description {
+	if known.BootUnixMS != handedOver.BootUnixMS {
+		return *handedOver
+	}
+	newest := *handedOver
+	if known.Sequence > handedOver.Sequence {
+		newest = *known
+	}
+	newest.Draining = known.Draining || handedOver.Draining
+	return newest
+}
