Start nothing on a restored target before its first heartbeat

A new process of a coordinator takes over the targets that the earlier one owned, with the capacity that it had written down. The capacity may have shrunk while no process was there to hear of it, and the target does not enforce it: starts could exceed it until the next heartbeat, within 1.5 s. The target is still polled at once, so it is ready when the heartbeat arrives. The spec "gets no start after a restart of its owner until its first heartbeat" failed before.

--- a/placement/capacity_test.go
+++ b/placement/capacity_test.go
@@ -73,4 +73,17 @@
 		}
 		Expect(h.core.AvailableTargets()).To(ConsistOf(HaveField("Free.CPUMillis", int64(16000))))
 	})
+
+	// Guards against starts by the capacity that an earlier process knew: it may have shrunk
+	// since.
+	It("gets no start after a restart of its owner until its first heartbeat", func() {
+		h = newHarness()
+		h.step(0, placement.TargetsRestored{Targets: []placement.Description{description("t", 0)}})
+		h.step(300*time.Millisecond, placement.Tick{})
+		h.step(time.Millisecond, placement.OrderResponse{Order: lastPoll(h, "t").Order, Result: placement.OK, ClockMS: 1000, BootUnixMS: 7})
+		h.submit("0000000000000002", 2, 2)
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+		h.step(20*time.Millisecond, placement.Heartbeat{Description: resized(9, 16000)})
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+	})
 })
--- a/placement/target.go
+++ b/placement/target.go
@@ -65,6 +65,7 @@
 	bootPoll       uint64                 // outstanding poll of that boot; 0: none
 	owned          bool                   // has been ready under this coordinator
 	health         health
+	restored       bool          // no heartbeat has arrived at this process
 	refuses        bool          // the last order found no process at the address
 	reservedUntil  time.Duration // until then only a run that has to be alone may be started
 }
@@ -104,7 +105,7 @@
 
 // serviceable reports whether the target may get starts unless it is set aside.
 func (t *target) serviceable(now time.Duration) bool {
-	return t.state == ready && !t.Draining && t.failedPolls == 0 && !t.leaseWithheld() &&
+	return t.state == ready && !t.restored && !t.Draining && t.failedPolls == 0 && !t.leaseWithheld() &&
 		now-t.heartbeatAt < heartbeatTimeout && t.health.admits(now, len(t.runs))
 }
 
@@ -140,6 +141,10 @@
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
+	if t.restored {
+		t.restored = false
+		c.availabilityChanged()
+	}
 	t.setClock(c.now, d.ClockMS)
 	if t.Draining != wasDraining {
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID})
@@ -192,6 +197,7 @@
 		}
 		d.ClockMS = 0
 		t := c.adoptTarget(d, "restored")
+		t.restored = true // its capacity may have shrunk since
 		t.heartbeatAt = c.now
 		c.pollIfNeeded(t)
 	}
