Remember the losses of a job whose runs may still be alive

An ended job is kept until its lost runs are over. In that time its tasks were removed from the list of suspects, so nothing was left to remember when the job was removed, and a caller that returned with it had its task start anew. The spec "has its crashes remembered when it is submitted again" failed before.

--- a/placement/remembered.go
+++ b/placement/remembered.go
@@ -14,10 +14,15 @@
 
 // rememberLosses keeps the losses of a job that is not stored for its next submission.
 func (c *Core) rememberLosses(j *job) {
+	if j.Stored {
+		return
+	}
 	byTask := map[string][]loss{}
-	for _, t := range c.suspects {
-		if t.job == j && !j.Stored && t.state != done && t.suspected() {
-			byTask[t.name()] = t.losses
+	for _, tasks := range j.tasks {
+		for _, t := range tasks {
+			if t.state != done && t.suspected() {
+				byTask[t.name()] = t.losses
+			}
 		}
 	}
 	if len(byTask) > 0 {
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -309,3 +309,23 @@
 		Expect(take[placement.RecordLoss](h)).To(ConsistOf(placement.RecordLoss{Task: storedTask, Loss: expected}))
 	})
 })
+
+var _ = Describe("a job that is not stored and may crash its target", func() {
+	// Guards against a caller that returns with an aborted job and has its tasks crash
+	// target after target, because the crashes were forgotten with the job.
+	It("has its crashes remembered when it is submitted again", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.submit(suspectJob, 1, 1)
+		h.confirmStarts()
+		h.crash("t")
+		h.wait(3 * time.Second)
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Outcome", placement.Aborted)))
+		Expect(h.core.Status().Jobs).To(BeZero())
+		h.boot("u", "t:1", 9)
+		h.events()
+		h.submit(suspectJob, 1, 2)
+		h.wait(200 * time.Millisecond)
+		Expect(h.events()).To(ContainElements("task_crashed_target", "task_isolated"))
+	})
+})
