--- a/placement/orders.go
+++ b/placement/orders.go
@@ -46,6 +46,7 @@
 		c.otherBootResponded(t, e.BootUnixMS)
 		return
 	}
+	t.refuses = e.ConnectionRefused
 	if e.Result != Unknown {
 		t.setClock(c.now, e.ClockMS)
 	}
--- a/placement/target.go
+++ b/placement/target.go
@@ -37,6 +37,10 @@
 	stopSent    bool
 	stopSentAt  time.Duration // when the stop was sent
 	unknown     bool          // found on the target, from an earlier owner
+	accompanied bool          // another run has been on the target since the start
+	exclusive   bool          // no other run may be started on the target
+	suspect     bool          // may crash its target
+	crash       *TargetLoss   // of the earlier boot, which may have started the run
 }
 
 // target is a target that this coordinator owns or is about to own.
@@ -62,6 +66,9 @@
 	bootPoll       uint64                 // outstanding poll of that boot; 0: none
 	owned          bool                   // has been ready under this coordinator
 	health         health
+	restored       bool          // no heartbeat has arrived at this process
+	refuses        bool          // the last order found no process at the address
+	reservedUntil  time.Duration // until then only a run that has to be alone may be started
 }
 
 func (t *target) ref() TargetRef { return TargetRef{ID: t.ID, Address: t.Address} }
@@ -123,7 +130,12 @@
 
 // usable reports whether the target may get starts.
 func (t *target) usable(now time.Duration) bool {
-	return t.state == ready && !t.Draining && t.failedPolls == 0 && t.admitsStart(now) &&
+	return t.serviceable(now) && !t.setAside(now)
+}
+
+// serviceable reports whether the target may get starts unless it is set aside.
+func (t *target) serviceable(now time.Duration) bool {
+	return t.state == ready && !t.restored && !t.Draining && t.failedPolls == 0 && t.admitsStart(now) &&
 		now-t.heartbeatAt < heartbeatTimeout && t.health.admits(now, len(t.runs))
 }
 
@@ -155,15 +167,23 @@
 	if t == nil {
 		t = c.adoptTarget(d, "heartbeat")
 	}
-	wasDraining := t.Draining
+	wasDraining, oldCapacity := t.Draining, t.Capacity
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
+	if t.restored {
+		t.restored = false
+		c.availabilityChanged()
+	}
 	t.setClock(c.now, d.ClockMS)
 	if t.Draining != wasDraining {
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID})
 		c.availabilityChanged()
 	}
+	if t.Capacity != oldCapacity {
+		c.logDecision(Decision{Event: "target_resized", Target: t.ID, Value: t.Capacity.CPUMillis})
+		c.availabilityChanged()
+	}
 	c.pollIfNeeded(t)
 }
 
@@ -175,9 +195,12 @@
 	for key, r := range old.runs {
 		if !r.listed {
 			inFlight[key] = r
-			delete(old.runs, key)
 		}
 	}
+	old.lossInFlight(inFlight)
+	for key := range inFlight {
+		delete(old.runs, key)
+	}
 	c.endedBoots.add(old.ID, old.BootUnixMS)
 	c.dropTarget(old, "restarted", bootOver)
 	t := c.adoptTarget(d, "restarted")
@@ -204,6 +227,7 @@
 		}
 		d.ClockMS = 0
 		t := c.adoptTarget(d, "restored")
+		t.restored = true // its capacity may have shrunk since
 		t.heartbeatAt = c.now
 		c.pollIfNeeded(t)
 	}
@@ -236,6 +260,7 @@
 // targetDeregistered processes the shutdown of a target. It ends after the response,
 // or some seconds later if that is lost.
 func (c *Core) targetDeregistered(e TargetDeregistered) {
+	c.acquitTarget(e.Target, e.BootUnixMS)
 	t := c.targets[e.Target]
 	if t == nil || e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS {
 		return
@@ -246,6 +271,7 @@
 
 func (c *Core) targetDraining(e TargetDraining) {
 	c.drainingBoots[e.Target] = e.BootUnixMS
+	c.acquitTarget(e.Target, e.BootUnixMS)
 	if t := c.targets[e.Target]; t != nil && t.BootUnixMS == e.BootUnixMS && !t.Draining {
 		t.Draining = true
 		c.logDecision(Decision{Event: "target_draining", Target: t.ID, Reason: "reported by a peer"})
@@ -269,8 +295,10 @@
 	for _, r := range sortedRuns(t) {
 		report := Report{Ref: r.ref, Kind: RunLost, Target: t.ID, SafeAfter: c.aliveFor(t, r, fate), Reason: reason}
 		safeAfter = max(safeAfter, report.SafeAfter)
+		report.Loss = t.lossOf(r, reason)
 		c.reportHome(t, r, report)
 	}
+	c.watchLost(t, reason)
 	c.logDecision(Decision{
 		Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs)),
 		BootUnixMS: t.BootUnixMS, SafeAfter: safeAfter,
@@ -354,6 +382,7 @@
 // startRun orders the start of a run. The caller has checked that it fits.
 func (c *Core) startRun(t *target, r *run, spec string) {
 	r.orderedAt = c.now
+	t.noteNeighbours(r)
 	t.runs[r.key] = r
 	t.used = t.used.Add(r.need)
 	id := c.newOrder(&order{kind: startOrder, target: t, run: r, token: t.token, sentAt: c.now})
@@ -406,6 +435,9 @@
 	delete(t.runs, r.key)
 	t.used = t.used.Sub(r.need)
 	report.Ref, report.Target = r.ref, t.ID
+	if report.Kind == RunRejected {
+		report.Loss = r.crash
+	}
 	c.reportHome(t, r, report)
 	c.availabilityChanged()
 }
