Derive the waits of homes from bounds of links and leases in one place

A home that loses the link to an owner waits until the owner has noticed the loss and its runs are over. The wait was Lease + StopTime + orderTimeout, 1.25 s. The owner may notice the loss 0.85 s after the home, if the link fails in one direction first: the link timeout plus the interval of its check. It may have started the run just before, and if its stops are lost too, the run ends with the lease, 1.03 s later on a slow clock. In that case the home started the task again while the run was alive.

A hand-over that arrived late needs no more than the longest lease, since its sender has given the target up.

Found by computing the bounds. The unit test fails on the code before (a start while "the lost run may be alive").

Cost: a task whose owner is lost is started again 0.7 s later than before.

--- a/cluster/links_test.go
+++ b/cluster/links_test.go
@@ -1,8 +1,12 @@
 package cluster
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
 )
 
 var _ = Describe("the refs of a process", func() {
@@ -17,3 +21,12 @@
 		Expect(gateways).To(HaveLen(100))
 	})
 })
+
+var _ = Describe("the timing of links", func() {
+	// Guards against homes that start a task again before the other end of a failed
+	// link has stopped its run.
+	It("is within the bound that homes assume", func() {
+		const networkDelay = 15 * time.Millisecond
+		Expect(linkTimeout + linkHeartbeatInterval + networkDelay).To(BeNumerically("<=", placement.MaxLinkSkew))
+	})
+})
--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -131,6 +131,9 @@
 		"links cut in one direction, coordinators lost, callers return": {
 			perSecond: 40, longestRun: 2 * time.Second, injectFaults: all(cutLinksOneWay, loseCoordinators, callersReturn(promptly)),
 		},
+		"links cut in one direction, most messages to targets lost": {
+			perSecond: 6, longestRun: 3 * time.Second, injectFaults: all(cutLinksOneWay, loseMostMessages),
+		},
 		"coordinators with clocks apart": {
 			perSecond: 40, clockSpread: 3 * time.Second, injectFaults: all(loseCoordinators, cutLinksOneWay, cutTargetsOneWay),
 		},
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -97,11 +97,11 @@
 // rejectHandOver reports the runs of a target that was taken over here by its
 // heartbeat before the hand-over arrived. They are stopped as unknown runs, and
 // their lease is not extended before that.
-func (c *Core) rejectHandOver(handOver HandOver) {
+func (c *Core) rejectHandOver(handOver HandOver, safeAfter time.Duration) {
 	for i := range handOver.Runs {
 		report := Report{
 			Ref: handOver.Runs[i].Ref, Kind: RunLost, Target: handOver.Description.ID, Token: handOver.Token,
-			SafeAfter: c.options.Lease + c.options.StopTime + orderTimeout, Reason: "hand-over arrived late",
+			SafeAfter: safeAfter, Reason: "hand-over arrived late",
 		}
 		if home := handOver.Runs[i].Home; home != c.options.Name {
 			c.queueReport(home, report)
@@ -126,7 +126,7 @@
 func (c *Core) failHandOvers(name string) {
 	for _, sent := range c.handOvers[name] {
 		if c.now-sent.at < handOverTimeout {
-			c.rejectHandOver(sent.handOver)
+			c.rejectHandOver(sent.handOver, c.aliveAfterHandOver())
 		}
 	}
 	delete(c.handOvers, name)
@@ -166,7 +166,7 @@
 	d := e.HandOver.Description
 	if old := c.targets[d.ID]; old != nil {
 		if old.token > e.HandOver.Token {
-			c.rejectHandOver(e.HandOver)
+			c.rejectHandOver(e.HandOver, c.longestLease()+TickInterval)
 			return
 		}
 		c.dropTarget(old, "handed over again", bootUncertain)
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -70,8 +70,8 @@
 }
 
 // peerDisconnected gives up what was placed at a coordinator and what it placed
-// here. The peer detects the failure within the link timeout and stops the runs;
-// if it has failed itself, their leases expire.
+// here. The peer detects the failure within MaxLinkSkew and stops the runs; if it has
+// failed itself, their leases expire.
 func (c *Core) peerDisconnected(name string) {
 	delete(c.peers, name)
 	delete(c.linked, name)
@@ -85,7 +85,7 @@
 			}
 		}
 	}
-	safe := c.options.Lease + c.options.StopTime + orderTimeout
+	safe := c.aliveAfterLinkLoss()
 	for _, ref := range c.placedAt(name) {
 		c.placementReported(Report{Ref: ref, Kind: RunLost, SafeAfter: safe, Reason: "link lost"})
 	}
--- a/placement/lend_test.go
+++ b/placement/lend_test.go
@@ -41,6 +41,22 @@
 		Expect(take[placement.RequestPlacements](h)).To(HaveExactElements(HaveField("Peer", "c1")))
 	})
 
+	// Guards against a task that runs twice: the other end of a link that fails in one
+	// direction first detects it 0.85 s later, and may have started the run just before.
+	It("have their runs started again only once the owner has noticed and the lease is over", func() {
+		h := newHarness()
+		h.step(0, placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{availableTarget("t", 16000)}})
+		h.step(0, lentJob("1"))
+		Expect(take[placement.RequestPlacements](h)).To(HaveLen(1))
+		h.step(10*time.Millisecond, placement.PeerDisconnected{Peer: "c1"})
+		h.acquire("own")
+		const detected, lease = 850 * time.Millisecond, 1030 * time.Millisecond
+		h.step(detected+lease, placement.Tick{})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty(), "the lost run may be alive")
+		h.step(100*time.Millisecond, placement.Tick{})
+		Expect(take[placement.StartOrder](h)).To(HaveLen(1))
+	})
+
 	// Pattern: a data centre is cut off or its coordinator is lost beside normal load.
 	// Tasks that run through another coordinator are lost with the link to it.
 	It("get a task only if none of the own targets has room for it", func() {
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -10,9 +10,6 @@
 	// orders runs of stored jobs. The log may have moved them to another home
 	// since, which waits for takeOverDelay.
 	homeLease = 1500 * time.Millisecond
-	// maxMessageDelay bounds the delivery of a message to another coordinator: the
-	// links fail after 0.7 s without traffic.
-	maxMessageDelay = 800 * time.Millisecond
 	// endRecordWait is how long after the end of a run its home waits for the log
 	// to record it.
 	endRecordWait = 300 * time.Millisecond
@@ -66,15 +63,6 @@
 	Run  int
 }
 
-// takeOverDelay is how long a new home waits until no order and no run of the
-// earlier one is left.
-func (c *Core) takeOverDelay() time.Duration {
-	return homeLease + maxMessageDelay + orderTimeout + c.longestLease() + c.options.StopTime + TickInterval
-}
-
-// longestLease is the longest lease by this machine's clock.
-func (c *Core) longestLease() time.Duration { return onSlowClock(c.options.Lease) }
-
 // homeLeaseValid reports whether no other coordinator can be the home of the
 // stored jobs here.
 func (c *Core) homeLeaseValid() bool {
--- a/placement/target.go
+++ b/placement/target.go
@@ -285,7 +285,7 @@
 	case fate == bootOver && r.listed:
 		return 0
 	case !r.confirmed:
-		return max(leaseLeft, c.options.Lease+orderTimeout) // the start may still arrive
+		return max(leaseLeft, c.longestLease()+orderTimeout) // the start may still arrive
 	}
 	return leaseLeft
 }
