Acknowledge ends and extend leases only at a target that has listed its runs

Cause: after an order without a response the owner polled the target under a new token, with the acknowledgement and the lease of the boot that it knew. If the target had crashed and returned under its ID meanwhile, its next boot forgot ends that nobody had read, and its runs, which another owner had started, got a longer lease than that owner counts on once it is fenced. The first loses recorded ends of stored jobs, whose tasks then start again after they were done; the second lets a task run twice at the same time.

A target that is being acquired now gets neither; its list shows the boot.

The unit test fails on the code before.

Remaining: an idle target that returns within 4.5 s may get one start and then one poll with an acknowledgement under the record of its earlier boot.

--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -142,6 +142,11 @@
 			injectFaults: all(cutTargetsOneWay, loseMessages, crashTargets(-2*time.Second), cutLinksOneWay, loseCoordinators),
 		},
 		"stored jobs, targets return under their IDs": {perSecond: 40, storedShare: 0.7, injectFaults: crashTargets(-5 * time.Second)},
+		// 9: an earlier owner acknowledged ends of the next boot, which it had not listed.
+		"stored jobs, all disruptions": {
+			perSecond: 40, storedShare: 0.7, clockSpread: 3 * time.Second, seeds: []uint64{9},
+			injectFaults: all(cutTargetsOneWay, loseMessages, crashTargets(-2*time.Second), cutLinksOneWay, loseCoordinators),
+		},
 	}
 	for name, entry := range entries {
 		It(name, func() {
--- a/placement/leases_test.go
+++ b/placement/leases_test.go
@@ -177,3 +177,24 @@
 		expectStartAfterLease(h, 150*time.Millisecond)
 	})
 })
+
+var _ = Describe("a target whose order got no response", func() {
+	// Guards against ends that the next boot loses and a lease that outlasts what that
+	// boot's other owner counts on: both were meant for the earlier boot.
+	It("gets no acknowledgement and no lease before it has listed its runs", func() {
+		h := newHarness()
+		start := startListed(h)
+		poll := lastPoll(h, start.Target.ID)
+		h.step(50*time.Millisecond, placement.OrderResponse{
+			Order: poll.Order, Result: placement.OK, ClockMS: 1150, BootUnixMS: 7,
+			Running: []placement.RunningEntry{{Task: start.Task, Run: 1, Percent: 30}},
+			Ended:   []placement.EndedEntry{{Number: 1, Task: "ffff.0.0.0", Run: 1, Kind: placement.EndStopped}},
+		})
+		poll = lastPoll(h, start.Target.ID)
+		Expect(poll.AckedEnd).To(Equal(uint64(1)))
+		h.step(poll.Timeout, placement.OrderResponse{Order: poll.Order, Result: placement.Unknown})
+		poll = lastPoll(h, start.Target.ID)
+		Expect(poll.AckedEnd).To(BeZero())
+		Expect(poll.ExpiresMS).To(BeZero())
+	})
+})
--- a/placement/target.go
+++ b/placement/target.go
@@ -330,11 +330,12 @@
 }
 
 func (c *Core) sendPoll(t *target, wait time.Duration) {
-	o := PollOrder{
-		Target: t.ref(), Token: t.token, AckedEnd: t.ackableEndNumber(),
-		Wait: wait, Timeout: wait + orderTimeout,
+	o := PollOrder{Target: t.ref(), Token: t.token, Wait: wait, Timeout: wait + orderTimeout}
+	if t.state == ready {
+		// Before that, another boot or another owner's runs may be there.
+		o.AckedEnd = t.ackableEndNumber()
 	}
-	if t.failedPolls < extendingPolls && len(t.runs) > 0 && !t.hasUnknownRun() && !t.hasStoppingRun() && !t.leaseWithheld() {
+	if t.state == ready && t.failedPolls < extendingPolls && len(t.runs) > 0 && !t.hasUnknownRun() && !t.hasStoppingRun() && !t.leaseWithheld() {
 		o.ExpiresMS = t.extendLease(c.now, c.options.Lease)
 	}
 	o.Order = c.newOrder(&order{kind: pollOrder, target: t, token: t.token, ackedEndNumber: o.AckedEnd, sentAt: c.now})
