Soak: a task that crashes each target that starts it

The stand-in crashes at the start of a task for which its option Deadly says so, before the response, and returns after 2 s. Each soak submits one such stored job, which has to end as failed; all other jobs have to be completed as before.

--- a/integration/deployment/calls.go
+++ b/integration/deployment/calls.go
@@ -35,6 +35,13 @@
 	return answer
 }
 
+// SubmitDeadly submits a job that has to be stored, whose task crashes each target
+// that starts it.
+func (d *Deployment) SubmitDeadly(ctx context.Context, gateway *Process, id string) Answer {
+	d.deadly.Store(id, true)
+	return d.SubmitStored(ctx, gateway, id, 1)
+}
+
 // JobState returns the state of a job at a gateway, or "" if it is not available.
 func (d *Deployment) JobState(ctx context.Context, gateway *Process, id string) string {
 	_, state, err := d.client.State(ctx, gateway.Machine.IP, id)
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -41,6 +41,7 @@
 	version       uint64   // of the document sent last
 	acknowledged  uint64   // highest acknowledged version
 	stored        sync.Map // IDs of the jobs that have to be stored
+	deadly        sync.Map // IDs of the jobs whose tasks crash the targets that start them
 	runChecker    *emulator.RunChecker
 }
 
@@ -101,7 +102,7 @@
 		target, err := standin.StartTarget(ctx, standin.TargetOptions{
 			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: fmt.Sprintf("dc%d", i%2),
 			Rack: fmt.Sprintf("r%d", i/4), Capacity: TargetCapacity,
-			Control: control, Epoch: d.epoch, Advertise: d.advertise,
+			Control: control, Epoch: d.epoch, Advertise: d.advertise, Deadly: d.isDeadly,
 			Runner: emulator.RunnerOptions{
 				Lease: time.Second, StopTime: 20 * time.Millisecond, Work: taskDuration, Need: taskResources,
 				OnStart: d.runChecker.OnStart, OnEndAcked: d.runChecker.OnEndAcked,
@@ -139,7 +140,16 @@
 // TargetCapacity is the capacity of a target at its start.
 var TargetCapacity = placement.Resources{CPUMillis: 32000, MemoryMB: 4096}
 
+// isDeadly reports whether a task crashes its target, and for how long.
+func (d *Deployment) isDeadly(task string) (crash bool, delay time.Duration) {
+	_, deadly := d.deadly.Load(placement.JobID(task))
+	return deadly, deadlyOutage
+}
+
 const (
+	// deadlyOutage is how long a target is away after the start of a deadly task.
+	deadlyOutage = 2 * time.Second
+
 	maxAttempts = 3 // of the queue that the stand-in operator defines
 	taskMillis  = 14000
 	taskMB      = 64
--- a/integration/deployment/soak_targets_test.go
+++ b/integration/deployment/soak_targets_test.go
@@ -18,6 +18,7 @@
 type targetFaults struct {
 	d      *deployment.Deployment
 	random *rand.Rand
+	stored *storedJobs
 }
 
 // inject injects one random fault and returns a function that undoes it.
@@ -52,8 +53,9 @@
 	}
 }
 
-// run injects faults until the context ends.
+// run submits a task that crashes targets and injects faults until the context ends.
 func (f *targetFaults) run(ctx context.Context) {
+	f.stored.submitDeadly(ctx, f.d, 0)
 	for ctx.Err() == nil {
 		description, undo := f.inject(ctx)
 		GinkgoWriter.Printf("fault: %s\n", description)
@@ -65,6 +67,21 @@
 	}
 }
 
+var _ = Describe("a task that crashes the targets that start it", func() {
+	// Guards against a task that crashes target after target without end: its job
+	// has to end, and other jobs have to be served meanwhile.
+	It("ends its job as failed", specTimeout, func(ctx SpecContext) {
+		d := start(ctx, 1, 3, 6)
+		jobs := &storedJobs{}
+		jobs.submitDeadly(ctx, d, 0)
+		for i := range 40 {
+			jobs.submit(ctx, d, i, 1)
+			time.Sleep(2 * submitInterval)
+		}
+		jobs.expectGuarantees(ctx, d)
+	})
+})
+
 var _ = Describe("a target that crashes and returns", func() {
 	// Guards against a job that never ends: its only target returns under its ID with a
 	// lower start, and with its clock and its counts anew.
--- a/integration/deployment/soak_test.go
+++ b/integration/deployment/soak_test.go
@@ -115,7 +115,7 @@
 		// connections to targets, and faults of the targets themselves.
 		It(fmt.Sprintf("loses no accepted job and runs no task twice, seed %d", seed), SpecTimeout(duration+120*time.Second), func(ctx SpecContext) {
 			s := &soak{d: start(ctx, 2, 3+int(seed%2), 6), random: rand.New(rand.NewPCG(seed, 7)), caller: &jobCaller{}, stored: &storedJobs{}}
-			faults := &targetFaults{d: s.d, random: rand.New(rand.NewPCG(seed, 8))}
+			faults := &targetFaults{d: s.d, random: rand.New(rand.NewPCG(seed, 8)), stored: s.stored}
 			faultsContext, stopFaults := context.WithCancel(ctx)
 			var running sync.WaitGroup
 			running.Go(func() {
--- a/integration/deployment/stored_test.go
+++ b/integration/deployment/stored_test.go
@@ -23,21 +23,39 @@
 type storedJobs struct {
 	requests sync.WaitGroup
 	mu       sync.Mutex
-	accepted []string
+	accepted []storedJob
 	next     int
 }
 
+type storedJob struct {
+	id     string
+	deadly bool // its task crashes the targets that start it
+}
+
 func (s *storedJobs) submit(ctx context.Context, d *deployment.Deployment, first, tasks int) {
+	s.send(ctx, d, first, false, func(gateway *deployment.Process, id string) deployment.Answer {
+		return d.SubmitStored(ctx, gateway, id, tasks)
+	})
+}
+
+// submitDeadly submits a job whose task crashes each target that starts it.
+func (s *storedJobs) submitDeadly(ctx context.Context, d *deployment.Deployment, first int) {
+	s.send(ctx, d, first, true, func(gateway *deployment.Process, id string) deployment.Answer {
+		return d.SubmitDeadly(ctx, gateway, id)
+	})
+}
+
+func (s *storedJobs) send(ctx context.Context, d *deployment.Deployment, first int, deadly bool, send func(gateway *deployment.Process, id string) deployment.Answer) {
 	s.mu.Lock()
 	s.next++
 	id := jobID(firstStoredID + s.next)
 	s.mu.Unlock()
 	s.requests.Go(func() {
 		for attempt := range storeRetries {
-			answer := d.SubmitStored(ctx, d.Gateways[(first+attempt)%len(d.Gateways)], id, tasks)
+			answer := send(d.Gateways[(first+attempt)%len(d.Gateways)], id)
 			if answer.Status == 200 {
 				s.mu.Lock()
-				s.accepted = append(s.accepted, id)
+				s.accepted = append(s.accepted, storedJob{id, deadly})
 				s.mu.Unlock()
 				return
 			}
@@ -50,14 +68,15 @@
 	})
 }
 
-// expectGuarantees checks that each accepted job is completed and that no target
-// observed a violation.
+// expectGuarantees checks that each accepted job is completed, or failed if its task
+// crashes targets, and that no target observed a violation.
 func (s *storedJobs) expectGuarantees(ctx context.Context, d *deployment.Deployment) {
 	GinkgoHelper()
 	s.requests.Wait()
-	for i, id := range s.accepted {
+	for i, job := range s.accepted {
+		id, state := job.id, map[bool]string{false: "completed", true: "failed"}[job.deadly]
 		Eventually(ctx, func() string { return d.JobState(ctx, d.Gateways[i%len(d.Gateways)], id) }).
-			WithTimeout(40*time.Second).Should(Equal("completed"), func() string { return "job " + id + "\n" + d.LogLines(id) })
+			WithTimeout(40*time.Second).Should(Equal(state), func() string { return "job " + id + "\n" + d.LogLines(id) })
 	}
 	Expect(d.Violations()).To(BeEmpty())
 }
