Count no crash under a task whose start the next boot has refused

What callers saw: a job answered failed ("task ... has crashed 2 targets") although one of the two runs never started.

The trial start of a suspect went to a target that had crashed before; the next boot at its address answered that the order was for another one. This dropped the target as "response from another boot", and the refused run counted as a second crash, alone.

A start that is answered in this way was not carried out, so the run is now rejected before the target is dropped. The new spec failed before.

--- a/placement/orders.go
+++ b/placement/orders.go
@@ -45,6 +45,10 @@
 		return
 	}
 	if e.BootUnixMS != 0 && t.BootUnixMS != 0 && e.BootUnixMS != t.BootUnixMS || e.Result == OtherBoot {
+		if o.kind == startOrder && e.Result == OtherBoot && t.runs[o.run.key] == o.run && !o.run.confirmed {
+			// That boot did not get the order, so the run cannot have ended it.
+			c.startRejected(t, o.run, "the boot is over")
+		}
 		c.otherBootResponded(t, e.BootUnixMS)
 		return
 	}
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -130,6 +130,18 @@
 		Expect(h.events()).To(ContainElement("task_crashed_target"))
 	})
 
+	// Guards against a sound task that is given up: its start was refused by the next boot
+	// of a target that had crashed before, and counted as a crash under it.
+	It("has not crashed it if the next boot refuses the start", func() {
+		h.submitPatient(1)
+		start := take[placement.StartOrder](h)[0]
+		h.step(time.Millisecond, placement.OrderResponse{Order: start.Order, Result: placement.OtherBoot})
+		h.boot("u", "t:1", 9)
+		h.wait(time.Second)
+		Expect(h.events()).NotTo(ContainElement("task_crashed_target"))
+		Expect(take[placement.StartOrder](h)).NotTo(BeEmpty(), "the task is started again")
+	})
+
 	// Guards against a crash that is missed, because the next boot of the same ID is there
 	// before the start was confirmed.
 	It("may have crashed it by a start without a response", func() {
