--- a/placement/crashes.go
+++ b/placement/crashes.go
@@ -49,7 +49,7 @@
 	if t.Draining {
 		return nil
 	}
-	loss := &TargetLoss{Address: t.Address, BootUnixMS: t.BootUnixMS, Alone: !r.accompanied}
+	loss := &TargetLoss{Address: t.Address, BootUnixMS: t.BootUnixMS, Alone: !r.accompanied && r.confirmed}
 	switch reason {
 	case droppedSilent:
 		loss.Newest = t.refuses
