--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -11,8 +11,8 @@
 	// crashesToConvict is how many targets have to crash under a task before it is
 	// given up, if it was alone on one of them.
 	crashesToConvict = 2
-	// sharedCrashesToConvict is the number if it was alone on none, because an owner of
-	// targets does not support that.
+	// sharedCrashesToConvict is the number if it was alone on none for certain: its starts
+	// had no response, or an owner of targets does not support that.
 	sharedCrashesToConvict = 4
 	// trialShare is the part of the targets that all homes together use for trials at
 	// the same time, as a divisor.
