Review case 4: a late start reaches the next boot of its runner

Change: the script of the case, in place of the one on cancelled jobs, which is case 5 now; the stand-in runner carries a start out late, may keep its id and may report first after an interval.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -112,7 +112,8 @@
 	m.command.Dir = d.root
 	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.folder, "HAWTHORNSHORE_BOOT=" + settings}
 	m.command.Stdout, m.command.Stderr = log, log
-	m.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	// The processes also end if this one is killed.
+	m.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := m.command.Start(); err != nil {
 		return err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -31,7 +32,9 @@
 	fleet   *fleet
 	runners []*runner
 	trouble bool // the disruption is played
-	broken  []string
+	// firstReport is the time from the boot of a runner to its first liveness report.
+	firstReport time.Duration
+	broken      []string
 }
 
 // violate records that the rule was broken.
@@ -44,6 +47,7 @@
 var cases = map[string]func(context.Context, *play) error{
 	"backlog":   playBacklog,
 	"crashes":   playCrashes,
+	"returned":  playReturned,
 	"trials":    playTrials,
 	"lists":     playLists,
 	"cancelled": playCancelled,
@@ -119,6 +123,7 @@
 	// Each runner calls the daemons of control in an order of its own.
 	control := append(append([]string{}, p.seeds[zone%len(p.seeds):]...), p.seeds[:zone%len(p.seeds)]...)
 	r := newRunner(p.fleet, fmt.Sprintf("r%d", number), zones[zone%len(zones)], p.ip(100+number)+":0", labels, cpu, control)
+	r.firstReport = p.firstReport
 	p.runners = append(p.runners, r)
 	return r, r.boot()
 }
@@ -147,4 +152,7 @@
 	return sleep(ctx, 4*time.Second) // heartbeats have reached the owners
 }
 
+// jobOf returns the ID of a task's job.
+func jobOf(task string) string { return strings.SplitN(task, ".", 2)[0] }
+
 func jobID(number int) string { return fmt.Sprintf("5c0e7a21%08x", number) }
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -83,6 +83,13 @@
 	// held is closed when responses may leave again; nil: they leave at once.
 	held      chan struct{}
 	heldSince time.Time
+	// lateStart is how long after its arrival the next start is carried out, without a
+	// response; 0: at once.
+	lateStart time.Duration
+	lateAt    time.Duration // when the late start arrived; 0: not yet
+	keepsID   bool          // the next boot has the id of this one
+	// firstReport is the time from a boot to its first liveness report.
+	firstReport time.Duration
 }
 
 // listedEnds is how many ends a response lists at most.
@@ -100,8 +107,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.boots++
-	r.down, r.id = false, fmt.Sprintf("i-%s-%d", r.name, r.boots)
+	if !r.keepsID {
+		r.boots++
+	}
+	r.down, r.id, r.keepsID = false, fmt.Sprintf("i-%s-%d", r.name, r.boots), false
 	r.born, r.bootAt = time.Now().UnixMilli(), r.fleet.rec.now()
 	r.token, r.leaseEnd, r.leaseAt, r.lastEnd, r.sequence = 0, 0, 0, 0, 0
 	r.runs, r.ended, r.highest, r.records = map[string]*run{}, nil, map[string]int{}, map[string]*finished{}
@@ -175,6 +184,11 @@
 			<-request.Context().Done()
 			return
 		}
+		if delay := r.takeLate(request.URL.Path, &o); delay > 0 {
+			time.AfterFunc(delay, func() { r.carryOutLate(id, &o) })
+			<-request.Context().Done()
+			return
+		}
 		var status int
 		var answer map[string]any
 		if handle == nil {
@@ -195,6 +209,31 @@
 	}
 }
 
+// takeLate returns how late an order is to be carried out.
+func (r *runner) takeLate(path string, o *order) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if path != "/run-start" || r.lateStart == 0 {
+		return 0
+	}
+	delay := r.lateStart
+	r.lateStart, r.lateAt = 0, r.fleet.rec.now()
+	r.fleet.rec.add("runner %s leaves the start of %s run %d unanswered", r.name, o.Task, o.Run)
+	return delay
+}
+
+// carryOutLate carries an order out at the boot that has the address and the id by now.
+func (r *runner) carryOutLate(id string, o *order) {
+	r.mu.Lock()
+	reached := r.id == id && !r.down
+	r.mu.Unlock()
+	r.fleet.rec.add("runner %s: the late start of %s run %d arrives: %t", r.name, o.Task, o.Run, reached)
+	if reached {
+		status, answer := r.start(o)
+		r.fleet.rec.add("runner %s: the late start is answered %d %v", r.name, status, answer)
+	}
+}
+
 func (r *runner) holding() chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -414,6 +453,7 @@
 func (r *runner) heartbeats(ctx context.Context, id string) {
 	caller := &http.Client{Timeout: time.Second}
 	next, address := 0, ""
+	_ = sleep(ctx, r.firstReport)
 	for ctx.Err() == nil {
 		if address == "" {
 			address = r.control[next%len(r.control)]
