Log when a target's list of ended runs is cut off

The claim takes a cut-off list for the cause, but no log line showed one: a start that is reported as rejected because a poll under a newer token did not list it could also never have arrived, or have reached another boot. A response now says whether ended runs may be missing from it (as many rows as a target lists at most), and the owner logs ends_truncated for the first one of several in a row.

No change of behaviour.

--- a/placement/events.go
+++ b/placement/events.go
@@ -93,7 +93,10 @@
 	// Running and Ended are the runs in the response to a poll.
 	Running []RunningEntry
 	Ended   []EndedEntry
-	Reason  string
+	// EndsTruncated reports that the target may have ended runs that Ended leaves out.
+	// It lists them once those in Ended are acknowledged.
+	EndsTruncated bool
+	Reason        string
 	// ConnectionRefused reports that no process listens at the target's address.
 	ConnectionRefused bool
 }
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -167,6 +167,10 @@
 func (c *Core) pollSucceeded(t *target, o *order, e OrderResponse) {
 	t.failedPolls = 0
 	t.ackedEndNumber = max(t.ackedEndNumber, o.ackedEndNumber)
+	if e.EndsTruncated && !t.endsTruncated {
+		c.logDecision(Decision{Event: "ends_truncated", Target: t.ID, Value: int64(len(e.Ended)), BootUnixMS: t.BootUnixMS})
+	}
+	t.endsTruncated = e.EndsTruncated
 	for _, end := range e.Ended {
 		c.runEnded(t, end)
 	}
--- a/placement/target.go
+++ b/placement/target.go
@@ -52,6 +52,7 @@
 	tokenAt        time.Duration // when the token was chosen
 	lastEndNumber  uint64        // of the highest end processed
 	ackedEndNumber uint64        // of the highest end acknowledged by a successful poll
+	endsTruncated  bool          // the last list of ends may have left some out
 	clockMS        int64         // lower bound of the target's clock at clockAt
 	clockAt        time.Duration
 	leaseEnd       time.Duration // every run has ended by then unless an order extends the lease
