Treat no run as gone because a truncated list leaves it out

Callers were told that a job was completed while some of its tasks were at work; these were stopped and never ended.

Cause: a target lists at most 500 ended runs in a response. After a start without a response the owner polls under a newer token; a run in neither list was taken for one whose start was fenced, also when the list was truncated and the run had ended behind its last row. The same reading ended a confirmed run that had left the running list: a stored one was given up, so that its recorded end no longer counted, and one that is not stored ran again.

Ruled out: a response of another boot (the list names the boot in use) and a start that arrives after the poll (the record shows the starts before it).

Now a run that a truncated list leaves out stays, with its share of the capacity, until its end is listed or a complete list leaves it out. The target still becomes ready, since only then does it acknowledge the ends in front; a complete list under a token newer than the start's proves the same in either state. Runs of an earlier owner are removed as before: they were listed as running, so they have ended, and waiting for their ends would keep the target from being ready for good. A target with such an open start is not handed over, as the next owner would take the run for confirmed.

Tests: the emulated target truncates its lists. The simulated log now also checks that a completed job has only done tasks.

--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -19,6 +19,7 @@
 	leaseEnd        time.Duration // end of the current lease
 	runs            map[runKey]*activeRun
 	unackedEnds     []placement.EndedEntry
+	listedEnds      int            // ended runs in a list at most
 	lastEnd         uint64         // sequence number of the last end
 	highestRun      map[string]int // by task: highest run number that ended or was stopped
 	endedAt         map[uint64]time.Duration
@@ -40,6 +41,9 @@
 // Records returns the runs that have ended so far.
 func (r *Runner) Records() []RunRecord { return slices.Clone(r.records) }
 
+// listedEnds is how many ended runs a list has at most, unless it is limited further.
+const listedEnds = 500
+
 // RunnerOptions configure a Runner.
 type RunnerOptions struct {
 	Lease    time.Duration // maximum
@@ -74,11 +78,14 @@
 // NewRunner returns a runner without runs.
 func NewRunner(description placement.Description, options RunnerOptions) *Runner {
 	return &Runner{
-		Description: description, options: options, clockRate: 1,
+		Description: description, options: options, clockRate: 1, listedEnds: listedEnds,
 		runs: map[runKey]*activeRun{}, highestRun: map[string]int{}, endedAt: map[uint64]time.Duration{},
 	}
 }
 
+// LimitListedEnds limits the number of ended runs in a list.
+func (r *Runner) LimitListedEnds(most int) { r.listedEnds = most }
+
 // Violations returns the violations of the runner's capacity so far.
 func (r *Runner) Violations() []string { return r.violations }
 
@@ -258,7 +265,9 @@
 	for _, key := range r.sortedKeys() {
 		response.Running = append(response.Running, placement.RunningEntry{Task: key.task, Run: key.run, Percent: r.percent(now, r.runs[key])})
 	}
-	response.Ended = slices.Clone(r.unackedEnds)
+	listed := min(len(r.unackedEnds), r.listedEnds)
+	response.Ended = slices.Clone(r.unackedEnds[:listed])
+	response.EndsTruncated = listed == r.listedEnds
 	return response
 }
 
--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -84,12 +84,29 @@
 	})
 }
 
+// holdResponses loses the responses of targets for so short a time that they stay owned.
+func holdResponses(s *simulation) {
+	s.repeat(60, 120*time.Millisecond, func() {
+		s.impair(s.randomTarget(), simPath{responseLoss: 1}, s.coordinators, 150*time.Millisecond+s.randomTime(300*time.Millisecond))
+	})
+}
+
+// handTargetsOver hands targets over again and again.
+func handTargetsOver(s *simulation) { s.repeat(200, 30*time.Millisecond, s.handOver) }
+
 // loseResponses loses responses of orders, which may be carried out late.
 func loseResponses(s *simulation) {
 	s.lossRate = 0.06
 	s.after(7*time.Second, func() { s.lossRate = 0 })
 }
 
+// truncateLists lets targets list few ended runs at a time.
+func truncateLists(s *simulation) {
+	for _, t := range s.targets {
+		t.runner.LimitListedEnds(1 + s.random.IntN(3))
+	}
+}
+
 func all(faults ...func(*simulation)) func(*simulation) {
 	return func(s *simulation) {
 		for _, inject := range faults {
@@ -123,6 +140,7 @@
 		"targets return under their IDs, orders are late": {
 			perSecond: 40, seeds: []uint64{2}, injectFaults: all(crashTargets(0), loseResponses),
 		},
+		"lists of ends truncated, responses lost": {perSecond: 40, injectFaults: all(truncateLists, holdResponses, loseResponses)},
 		"callers return": {perSecond: 40, longestRun: 3 * time.Second, injectFaults: callersReturn(promptly)},
 		"callers return after the link of their gateway has failed": {
 			perSecond: 40, longestRun: 3 * time.Second, injectFaults: callersReturn(750 * time.Millisecond),
@@ -142,6 +160,13 @@
 			injectFaults: all(cutTargetsOneWay, loseMessages, crashTargets(-2*time.Second), cutLinksOneWay, loseCoordinators),
 		},
 		"stored jobs, targets return under their IDs": {perSecond: 40, storedShare: 0.7, injectFaults: crashTargets(-5 * time.Second)},
+		// 8: a list that left a run's end out was taken for the proof that it never started.
+		"stored jobs, lists of ends truncated, responses lost": {
+			perSecond: 40, storedShare: 0.7, seeds: []uint64{8}, injectFaults: all(truncateLists, holdResponses),
+		},
+		"stored jobs, lists of ends truncated, targets handed over": {
+			perSecond: 40, storedShare: 0.7, injectFaults: all(truncateLists, cutTargetsOneWay, handTargetsOver),
+		},
 		// 9: an earlier owner acknowledged ends of the next boot, which it had not listed.
 		"stored jobs, all disruptions": {
 			perSecond: 40, storedShare: 0.7, clockSpread: 3 * time.Second, seeds: []uint64{9},
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -60,8 +60,14 @@
 	}
 }
 
-// hasOrders reports whether a start or a stop at a target is pending.
+// hasOrders reports whether a start or a stop at a target is pending, or whether a run
+// may have been started there by an order without a response.
 func (c *Core) hasOrders(t *target) bool {
+	for _, r := range t.runs {
+		if !r.confirmed {
+			return true
+		}
+	}
 	for _, o := range c.orders {
 		if o.target == t && (o.kind == startOrder || o.kind == stopOrder) {
 			return true
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -248,12 +248,16 @@
 
 // runMissing handles a run that the target lists neither as running nor as ended.
 // A start that is still in flight may yet begin the run, unless the poll's token
-// is newer than the start's.
+// is newer than the start's. If the list of ends was truncated, the run may have
+// ended in any way; it stays until its end is listed or a complete list leaves it out.
 func (c *Core) runMissing(t *target, o *order, r *run) {
 	switch {
 	case r.unknown:
+		// It was listed as running before, so it has ended. Waiting for its end would
+		// keep the target from being ready, and only a ready one acknowledges ends.
 		delete(t.runs, r.key)
-	case !r.confirmed && t.state == acquiring && o.token == t.token && r.orderedAt < t.tokenAt:
+	case t.endsTruncated:
+	case !r.confirmed && o.token == t.token && r.orderedAt < t.tokenAt:
 		c.finishRun(t, r, Report{Kind: RunRejected, Reason: "start fenced by a newer token"})
 	case r.confirmed && r.confirmedAt < o.sentAt:
 		c.finishRun(t, r, Report{Kind: RunStopped, Reason: "no longer listed by the target"})
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -181,11 +182,23 @@
 	for _, j := range jobs {
 		if j.State == wire.StoredState_STORED_STATE_COMPLETED {
 			l.completed++
+			s.checkCompleted(j)
 		}
 	}
 	return verdicts[0]
 }
 
+// checkCompleted records a violation if a completed job has a task that is not done.
+func (s *simulation) checkCompleted(j *jobtable.Job) {
+	for step, tasks := range j.Tasks {
+		for index := range tasks {
+			if !tasks[index].Done() {
+				s.violations = append(s.violations, fmt.Sprintf("job %s is completed, its task %d.%d is not done", j.ID, step, index))
+			}
+		}
+	}
+}
+
 // recordEnd proposes the end of a run and reports the result to the core.
 func (s *simulation) recordEnd(c *simCoordinator, e placement.RecordEnd) {
 	s.propose(c, &wire.JobCommand{Body: &wire.JobCommand_End{
