Notice the next boot of a target by the clock in a response

Cause: only lists of runs name their boot. A start that reached the next boot under the target's ID was confirmed as if the earlier one had sent the response, and the poll after it carried the number of the last end that was acknowledged to the earlier boot. The next boot numbers its ends anew, so it dropped the end of that run from its list before anybody had read it; the task's run counted as lost and the task started again.

A response without a boot whose clock is below the lower bound of the target's clock at the order's sending comes from a later boot, since a boot's clock starts anew and runs at most 2% slow. The target is now acquired again: the next list names the boot, and until then nothing is acknowledged and no lease extended. The runs are not taken for gone on the word of a clock.

Ruled out: to treat it as the end of the boot at once, as a wrong clock would then free runs that are alive.

A boot that crashes in its first seconds is not told from the next one by this.

--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -167,6 +167,11 @@
 		"stored jobs, lists of ends truncated, targets handed over": {
 			perSecond: 40, storedShare: 0.7, injectFaults: all(truncateLists, cutTargetsOneWay, handTargetsOver),
 		},
+		// 2: the next boot confirmed a start, and dropped its end for the number that was
+		// acknowledged to the earlier one.
+		"stored jobs, lists of ends truncated, targets handed over and restarted": {
+			perSecond: 40, storedShare: 0.7, seeds: []uint64{2}, injectFaults: all(truncateLists, cutTargetsOneWay, handTargetsOver, crashTargets(0)),
+		},
 		// 9: an earlier owner acknowledged ends of the next boot, which it had not listed.
 		"stored jobs, all disruptions": {
 			perSecond: 40, storedShare: 0.7, clockSpread: 3 * time.Second, seeds: []uint64{9},
--- a/placement/leases_test.go
+++ b/placement/leases_test.go
@@ -195,6 +195,31 @@
 	})
 })
 
+var _ = Describe("a target whose clock has started anew", func() {
+	// Guards against a done task that starts again: its run ended on the next boot, and
+	// the number acknowledged to the earlier boot dropped that end from the list.
+	It("gets no acknowledgement and no lease before it has listed its runs", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.submit("0000000000000001", 1, 1)
+		first := h.confirmStarts()[0]
+		h.completePoll(placement.OrderResponse{Ended: []placement.EndedEntry{
+			{Number: 1, Task: first.Task, Run: 1, Kind: placement.EndDone},
+		}})
+		Expect(lastPoll(h, "t").AckedEnd).To(Equal(uint64(1)))
+		h.submit("0000000000000002", 1, 2)
+		start := take[placement.StartOrder](h)[0]
+		h.step(time.Millisecond, placement.OrderResponse{Order: start.Order, Result: placement.OK, ClockMS: 9})
+		poll := lastPoll(h, "t")
+		Expect(poll.Token).To(BeNumerically(">", start.Token))
+		Expect(poll.AckedEnd).To(BeZero())
+		Expect(poll.ExpiresMS).To(BeZero())
+		Expect(take[placement.Decision](h)).To(ContainElement(And(
+			HaveField("Event", "target_uncertain"), HaveField("Reason", "response with an earlier clock"),
+		)))
+	})
+})
+
 var _ = Describe("a target whose order got no response", func() {
 	// Guards against ends that the next boot loses and a lease that outlasts what that
 	// boot's other owner counts on: both were meant for the earlier boot.
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -20,10 +20,12 @@
 	ackedEndNumber uint64 // of the highest end that a poll acknowledges
 	bootUnixMS     int64  // of the boot that a bootPollOrder is for
 	sentAt         time.Duration
+	clockMS        int64 // lower bound of the target's clock at sentAt
 }
 
 func (c *Core) newOrder(o *order) uint64 {
 	c.lastOrder++
+	o.clockMS = o.target.clock(c.now)
 	c.orders[c.lastOrder] = o
 	return c.lastOrder
 }
@@ -52,6 +54,12 @@
 		c.otherBootResponded(t, e.BootUnixMS)
 		return
 	}
+	if e.Result != Unknown && e.BootUnixMS == 0 && e.ClockMS > 0 && e.ClockMS < o.clockMS {
+		// A later boot, whose clock started anew. The next list names it; until then no
+		// end is acknowledged and no lease extended.
+		c.reacquire(t, "response with an earlier clock")
+		return
+	}
 	t.refuses = e.ConnectionRefused
 	if e.Result != Unknown {
 		t.setClock(c.now, e.ClockMS)
