Keep late starts from the next boot of a lost target

Cause: after a start without a response the owner polls under a newer token, and the boot that responds refuses the start from then on, so the task starts elsewhere. If that boot ends and another one starts under the same ID, that one has seen no token. It carried the late start out, because nobody polled it before its first heartbeat was processed; an idle target that crashed was not even missed until then.

Ruled out: waiting until the start can no longer arrive before the task starts again (seconds for each order that is late, with callers that wait 1.5 s), and the end of the lease, which the next boot compares with a clock that started anew.

Now a target that may get a start late is polled for 12 s after that start (the longest delay that the platform names), also if it is idle, so that the end of its boot is noticed. While it does not respond, or has been dropped or handed over, it is polled every 50 ms without waiting for responses, under a token above that of the start and below that of a next owner: the next boot refuses the start from the first of these polls on. After a response the interval is 200 ms. The log has late_start_awaited.

What remains: a late start that reaches the next boot before the first poll.

--- a/placement/core.go
+++ b/placement/core.go
@@ -29,6 +29,7 @@
 
 	orders    map[uint64]*order
 	lastOrder uint64
+	fences    map[string]*fence // by lost target
 
 	jobs       map[string]*job // by ID
 	callers    map[Caller]*job
@@ -73,6 +74,7 @@
 		drainingBoots: map[string]int64{},
 		tokenOffset:   uint64(hash.Sum32() % (1 << tokenShift)),
 		orders:        map[uint64]*order{},
+		fences:        map[string]*fence{},
 		jobs:          map[string]*job{},
 		callers:       map[Caller]*job{},
 		reserved:      map[string]bool{},
@@ -261,6 +263,7 @@
 		}
 		c.checkUnacked(t)
 	}
+	c.pollFences()
 	c.suspendStored()
 	if len(c.restored) > 0 && c.now >= c.adoptRestoredAt {
 		c.adoptRestored()
--- a/placement/crashes.go
+++ b/placement/crashes.go
@@ -25,6 +25,10 @@
 	droppedOtherBoot = "response from another boot"
 )
 
+// droppedDeregistered is the reason for which a target is dropped whose process ends as
+// planned.
+const droppedDeregistered = "deregistered"
+
 // lostTarget is a target that was lost here and may have crashed.
 type lostTarget struct {
 	id   string
--- a/placement/disruptions_test.go
+++ b/placement/disruptions_test.go
@@ -167,6 +167,10 @@
 		"stored jobs, lists of ends truncated, targets handed over": {
 			perSecond: 40, storedShare: 0.7, injectFaults: all(truncateLists, cutTargetsOneWay, handTargetsOver),
 		},
+		// 8: a start was carried out late by the next boot, when the task was done elsewhere.
+		"stored jobs, targets return under their IDs, orders are late": {
+			perSecond: 40, storedShare: 0.7, seeds: []uint64{8}, injectFaults: all(crashTargets(0), loseResponses),
+		},
 		// 2: the next boot confirmed a start, and dropped its end for the number that was
 		// acknowledged to the earlier one.
 		"stored jobs, lists of ends truncated, targets handed over and restarted": {
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -17,6 +17,9 @@
 //     lease that the target may hold has expired.
 //   - A task has at most one run that may be alive.
 //   - A lease is extended only while the target responds.
+//   - A target that may get a start late, whose task may run elsewhere, is polled until
+//     the start can no longer arrive. A next boot that gets it before the first of
+//     these polls does carry it out.
 //
 // A run is one execution of a task; package dispatch has the word attempt for it. A
 // coordinator owns the targets that it is in charge of; package dispatch calls this
--- a/placement/ends_test.go
+++ b/placement/ends_test.go
@@ -19,10 +19,15 @@
 		h.acquire("t")
 		h.store()
 	})
-	// list responds to the outstanding poll; it may wait for a tick to be sent.
+	// list responds to the outstanding poll, or to the next one.
 	list := func(truncated bool, ends ...placement.EndedEntry) placement.PollOrder {
-		h.step(60*time.Millisecond, placement.Tick{})
-		poll := lastPoll(h, "t")
+		polls := take[placement.PollOrder](h)
+		if len(polls) == 0 {
+			h.step(60*time.Millisecond, placement.Tick{})
+			polls = take[placement.PollOrder](h)
+		}
+		Expect(polls).To(HaveLen(1))
+		poll := polls[0]
 		h.step(time.Millisecond, placement.OrderResponse{
 			Order: poll.Order, Result: placement.OK, ClockMS: 1200, BootUnixMS: 7, Ended: ends, EndsTruncated: truncated,
 		})
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -95,6 +95,7 @@
 	}
 	delete(c.targets, t.ID)
 	c.dropOrders(t)
+	c.fenceTarget(t)
 	c.handOvers[name] = append(c.handOvers[name], sentHandOver{at: c.now, handOver: handOver})
 	c.emit(SendHandOver{Peer: name, HandOver: handOver})
 	c.logDecision(Decision{Event: "target_handed_over", Target: t.ID, Peer: name, Value: int64(len(handOver.Runs))})
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -8,14 +8,16 @@
 	startOrder orderKind = iota
 	stopOrder
 	pollOrder
-	bootPollOrder // to find out which boot responds
+	bootPollOrder  // to find out which boot responds
+	fencePollOrder // of a lost target
 )
 
 // order is a start, stop or poll request that a target has not answered yet.
 type order struct {
 	kind           orderKind
-	target         *target
-	run            *run // of a start or a stop
+	target         *target // nil for a fencePollOrder
+	fence          *fence  // of a fencePollOrder
+	run            *run    // of a start or a stop
 	token          uint64
 	ackedEndNumber uint64 // of the highest end that a poll acknowledges
 	bootUnixMS     int64  // of the boot that a bootPollOrder is for
@@ -25,7 +27,9 @@
 
 func (c *Core) newOrder(o *order) uint64 {
 	c.lastOrder++
-	o.clockMS = o.target.clock(c.now)
+	if o.target != nil {
+		o.clockMS = o.target.clock(c.now)
+	}
 	c.orders[c.lastOrder] = o
 	return c.lastOrder
 }
@@ -38,6 +42,10 @@
 		return
 	}
 	delete(c.orders, e.Order)
+	if o.kind == fencePollOrder {
+		c.fencePolled(o.fence, e.Result)
+		return
+	}
 	t := o.target
 	if c.targets[t.ID] != t {
 		return
@@ -83,6 +91,7 @@
 	case OK:
 		c.confirmRun(t, r)
 	case Unknown:
+		t.awaitLateStart(r)
 		c.reacquire(t, "no response to a start")
 	case Fenced:
 		if o.token == t.token {
@@ -195,6 +204,7 @@
 	}
 	if t.state == acquiring && o.token == t.token && !t.hasUnknownRun() {
 		t.state, t.owned = ready, true
+		c.removeFence(t)
 		c.logDecision(Decision{Event: "target_ready", Target: t.ID, Age: c.now - t.tokenAt, Value: int64(len(t.runs))})
 		for _, r := range sortedRuns(t) {
 			if r.stopping {
@@ -266,6 +276,7 @@
 		delete(t.runs, r.key)
 	case t.endsTruncated:
 	case !r.confirmed && o.token == t.token && r.orderedAt < t.tokenAt:
+		t.awaitLateStart(r)
 		c.finishRun(t, r, Report{Kind: RunRejected, Reason: "start fenced by a newer token"})
 	case r.confirmed && r.confirmedAt < o.sentAt:
 		c.finishRun(t, r, Report{Kind: RunStopped, Reason: "no longer listed by the target"})
--- a/placement/target.go
+++ b/placement/target.go
@@ -69,6 +69,7 @@
 	health         health
 	restored       bool          // no heartbeat has arrived at this process
 	refuses        bool          // the last order found no process at the address
+	lateStartUntil time.Duration // until then a start without a response may arrive
 	reservedUntil  time.Duration // until then only a run that has to be alone may be started
 }
 
@@ -243,6 +244,7 @@
 	t.Draining = d.Draining || c.drainingBoots[d.ID] == d.BootUnixMS && d.BootUnixMS != 0
 	t.token, t.tokenAt = c.newToken(0), c.now
 	c.targets[d.ID] = t
+	c.removeFence(t) // it is polled under a newer token from now on
 	c.logDecision(Decision{
 		Event: "target_adopted", Target: t.ID, Reason: reason, Value: int64(t.token), BootUnixMS: t.BootUnixMS,
 	})
@@ -267,7 +269,7 @@
 		return
 	}
 	c.endedBoots.add(t.ID, t.BootUnixMS)
-	c.dropTarget(t, "deregistered", bootUncertain)
+	c.dropTarget(t, droppedDeregistered, bootUncertain)
 }
 
 func (c *Core) targetDraining(e TargetDraining) {
@@ -300,6 +302,9 @@
 		c.reportHome(t, r, report)
 	}
 	c.watchLost(t, reason)
+	if reason != droppedDeregistered {
+		c.fenceDropped(t)
+	}
 	c.logDecision(Decision{
 		Event: "target_dropped", Target: t.ID, Reason: reason, Value: int64(len(t.runs)),
 		BootUnixMS: t.BootUnixMS, SafeAfter: safeAfter,
@@ -355,6 +360,8 @@
 		c.sendPoll(t, pollWait)
 	case t.ackableEndNumber() > t.ackedEndNumber:
 		c.sendPoll(t, 0)
+	case c.now < t.lateStartUntil:
+		c.sendPoll(t, pollWait) // fails at once when the target's boot ends
 	}
 }
 
@@ -425,6 +432,7 @@
 	for _, r := range t.runs {
 		r.stopSent = false
 	}
+	c.fenceTarget(t)
 	c.availabilityChanged()
 	c.pollIfNeeded(t)
 }
