Check the limit of jobs in flight for each moment

'does not send beyond the limit of jobs in flight' failed there with 6 jobs received instead of 3.

Cause: the test let the server answer after twice the generator's duration and took all jobs received by the end for those in flight. On a starved machine the generator was still sending at that time, and sent more in the freed places, as it should.

The test now counts the jobs in flight at each moment and expects their maximum to be the limit.

--- a/experiment/httpload_test.go
+++ b/experiment/httpload_test.go
@@ -56,11 +56,18 @@
 		Expect(result.Errors).To(BeZero())
 	})
 
-	// Guards against a generator that adds jobs without bound while none is answered.
+	// Guards against a generator that adds jobs without bound while none is answered. The
+	// limit is checked for each moment, as the generator may still be sending after the
+	// release when the machine is busy.
 	It("does not send beyond the limit of jobs in flight, and counts the jobs not sent", func() {
 		release := make(chan struct{})
-		address, received := serveAnswers(func(_ int64, job *structs.Job) structs.Answer {
+		var inFlight, most atomic.Int64
+		address, _ := serveAnswers(func(_ int64, job *structs.Job) structs.Answer {
+			now := inFlight.Add(1)
+			for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+			}
 			<-release
+			inFlight.Add(-1)
 			return structs.Answer{JobID: job.ID, Outcome: structs.OutcomeComplete}
 		})
 		o := options(address)
@@ -68,7 +75,7 @@
 		time.AfterFunc(2*o.Duration, func() { close(release) })
 		result, err := experiment.GenerateLoad(context.Background(), o)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(received.Load()).To(Equal(int64(3)))
+		Expect(most.Load()).To(Equal(int64(3)))
 		Expect(result.NotSent).To(BeNumerically(">", 0))
 	})
 
