Tell a link closed by the other end from a message that cannot be encoded

Trace: coordinator 127.77.30.11 was not scheduled for 594 ms (process_paused at 15:28:26.000); its peers had closed their links by then, which is what they do after a silence, and its next write found the stream closed 26 ms later (link_down peer=127.77.30.10; the peer's own line is 'read: EOF' at 26.010). All links were up again within 0.3 s. No odd entry was involved.

The spec searches for links that end because a message cannot be encoded. Such an error is logged at the end that encodes, with the encoder's own text, never as a closed stream, so leaving out the lines of streams that the other end has closed hides none of them; the other signs are searched for as before.

--- a/integration/deployment/odd_test.go
+++ b/integration/deployment/odd_test.go
@@ -2,13 +2,29 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/integration/deployment"
 )
 
+// failedWrites returns the log lines of links that ended because a message could not be
+// written. It leaves out links that the other end had closed, as it does when this
+// process was not scheduled for a while: an encoding error names itself in its line.
+func failedWrites(d *deployment.Deployment) []string {
+	var failed []string
+	for line := range strings.Lines(d.LogLines(`error="write: `)) {
+		if !strings.Contains(line, `error="write: stream closed"`) {
+			failed = append(failed, line)
+		}
+	}
+	return failed
+}
+
 var _ = Describe("entries of another writer among those of the targets", func() {
 	// Guards against coordinators that end, lose their links or lose sound targets
 	// after an entry that is nested, out of range or not readable.
@@ -29,10 +45,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(acknowledged).To(BeEmpty())
 		caller.expectGuarantees(ctx, d)
-		for _, sign := range []string{
-			`error="write: `, // the end of a link after a message that cannot be encoded
-			"target=odd-", "reason=restarted", "response from another boot",
-		} {
+		Expect(failedWrites(d)).To(BeEmpty(), "a link ends after a message that cannot be encoded")
+		for _, sign := range []string{"target=odd-", "reason=restarted", "response from another boot"} {
 			Expect(d.LogLines(sign)).To(BeEmpty())
 		}
 		for i, target := range d.Targets {
