Keep evacuated data centres in the coordinators' log

Cause: an evacuation order has to survive the loss of all power, and racing or delayed orders must not undo each other. Ruled out: a version in the order (operators send none), and last-writer-wins (a proposal that was delayed would undo a later order). Change: package cluster/evacuation, without I/O, applies an order only if the revision that its proposer read is unchanged.

Result: go test ./cluster/evacuation ./cluster passes; nothing uses the set yet.

--- a/cluster/state.go
+++ b/cluster/state.go
@@ -7,20 +7,23 @@
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
 
+	"hawthornshore.example/cluster/evacuation"
 	"hawthornshore.example/consensus"
 	"hawthornshore.example/jobtable"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
 
-// stateStore is the replicated state: the document with the highest version, and
-// the stored jobs. It implements node.StateMachine.
+// stateStore is the replicated state: the document with the highest version, the
+// stored jobs and the evacuated data centres. It implements node.StateMachine.
 type stateStore struct {
 	mu         sync.RWMutex
 	document   Document
 	jobs       *jobtable.Table
 	changed    map[string]bool // IDs of the jobs changed since takeChanged
 	allChanged bool            // any job may have changed
+
+	evacuations evacuation.Set
 }
 
 // newStateStore returns an empty state with a retention time for ended jobs.
@@ -35,6 +38,21 @@
 	return s.document
 }
 
+// evacuationState returns the state of a data centre.
+func (s *stateStore) evacuationState(dataCentre string) evacuation.State {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.evacuations.Get(dataCentre)
+}
+
+// mergedEvacuations returns the evacuations of the log, and those of another set with
+// a higher revision.
+func (s *stateStore) mergedEvacuations(other *evacuation.Set) evacuation.Set {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return evacuation.Merge(&s.evacuations, other)
+}
+
 // jobState returns the state of a stored job.
 func (s *stateStore) jobState(id string) wire.StoredState {
 	s.mu.RLock()
@@ -120,6 +138,9 @@
 			s.changed[j.ID] = true
 		}
 	}
+	if order := command.GetEvacuation(); order != nil {
+		answer.EvacuationApplied = s.evacuations.Apply(command.GetClockUnixMs(), order)
+	}
 	return proto.Marshal(answer)
 }
 
@@ -128,7 +149,8 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	state := &wire.CoordinatorState{
-		Document: &wire.DocumentState{Version: s.document.Version, Body: s.document.Body},
+		Document:    &wire.DocumentState{Version: s.document.Version, Body: s.document.Body},
+		Evacuations: s.evacuations.Snapshot(),
 	}
 	s.jobs.Snapshot(state)
 	return proto.Marshal(state)
@@ -144,5 +166,6 @@
 	defer s.mu.Unlock()
 	s.document = Document{Version: state.GetDocument().GetVersion(), Body: state.GetDocument().GetBody()}
 	s.allChanged = true
+	s.evacuations.Restore(state.GetEvacuations())
 	return errors.Annotate(s.jobs.Restore(&state), "restore jobs")
 }
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"hawthornshore.example/cluster/evacuation"
 	"hawthornshore.example/consensus"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
@@ -56,6 +57,23 @@
 		Expect(restored.Restore([]byte("x"))).NotTo(Succeed())
 	})
 
+	// Guards against an acknowledged evacuation that is lost with a snapshot, or that a
+	// coordinator keeps although the snapshot that it was sent lacks it.
+	It("keeps evacuations over a snapshot", func() {
+		s, restored := newStateStore(time.Minute), newStateStore(time.Minute)
+		order := &wire.EvacuationOrder{DataCentre: "dc0", Evacuate: true}
+		answer := apply(s, &wire.LogCommand{ClockUnixMs: 9, Evacuation: order})
+		Expect(answer.GetEvacuationApplied().GetOutcome()).To(Equal(wire.EvacuationOutcome_EVACUATION_OUTCOME_APPLIED))
+		data, err := s.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Restore(data)).To(Succeed())
+		Expect(restored.evacuationState("dc0")).To(Equal(evacuation.State{Evacuated: true, Revision: 1, SinceUnixMS: 9}))
+		earlier, err := proto.Marshal(&wire.CoordinatorState{Document: &wire.DocumentState{Version: 3}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Restore(earlier)).To(Succeed())
+		Expect(restored.evacuationState("dc0")).To(BeZero())
+	})
+
 	// Guards against a change that is not passed to the core, such as a job that a
 	// restored snapshot lacks.
 	It("returns each change once, and after a restore the jobs that are gone", func() {
