Order no start at targets of an evacuated data centre

Cause: after an evacuation order nothing more may be sent to the targets of the data centre, whichever way a coordinator came to own or to see them. Ruled out: a look-up of the data centre for each candidate of each task (a flag of the target is as good and costs nothing), and the data centre in the view of other coordinators' targets (their owner withdraws them, and rejects what is on its way). Change: EvacuationsChanged sets a flag that serviceable() checks, so that placements, trials, reservations and the targets offered to others follow it. Starts that wait among the effects are taken back. Jobs that fit nowhere else are refused at once. With Unknown set no target gets a start. Cold targets come after warm ones and have at most four runs, where Options.Cold is set. Tests: 13 specs of rules and eight kinds of random schedules.

--- a/cluster/targetcache.go
+++ b/cluster/targetcache.go
@@ -80,7 +80,7 @@
 	list := &wire.KnownTargets{}
 	for i := range targets {
 		target := descriptionToWire(&targets[i])
-		target.Sequence, target.ClockMs = 0, 0
+		target.Sequence, target.ClockMs, target.ColdMs = 0, 0, 0
 		list.Targets = append(list.Targets, target)
 	}
 	list.Checksum = checksum(list.GetTargets())
--- a/placement/core.go
+++ b/placement/core.go
@@ -48,6 +48,7 @@
 	reports     map[string][]queuedReport // by peer
 	handOvers   map[string][]sentHandOver
 	draining    bool
+	evacuations evacuations
 
 	logConfirmed    bool          // the log has been read to its end
 	logConfirmedAt  time.Duration // a time before the last such read
@@ -92,6 +93,7 @@
 func (c *Core) Step(now time.Duration, event Event) {
 	if !c.started {
 		c.clockStart, c.started, c.lastRef = now, true, c.options.FirstRef
+		c.evacuations.withdrawnAt = now // others have not sent their targets yet
 	}
 	c.now = now
 	if name := sender(event); name != "" {
@@ -143,6 +145,8 @@
 		c.endRecorded(e)
 	case HandOverRequested:
 		c.handOverRequested(e)
+	case EvacuationsChanged:
+		c.evacuationsChanged(e)
 	case Drain:
 		c.drain()
 	}
@@ -193,7 +197,7 @@
 		if !c.draining && t.usable(c.now) {
 			available = append(available, AvailableTarget{
 				Target: id, Service: t.Service, Labels: t.Labels, Free: t.free(), Suspect: t.health.suspect(c.now),
-				Idle: len(t.runs) == 0, Address: t.Address, BootUnixMS: t.BootUnixMS,
+				Idle: len(t.runs) == 0, Cold: t.cold(c.now), Address: t.Address, BootUnixMS: t.BootUnixMS,
 			})
 		}
 	}
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -79,6 +79,7 @@
 func (c *Core) handOver(t *target, name string) {
 	handOver := HandOver{Description: t.Description, Token: t.token, AckedEnd: t.ackableEndNumber()}
 	handOver.Description.ClockMS = t.clock(c.now)
+	handOver.Description.Cold = max(t.coldUntil-c.now, 0)
 	for _, r := range sortedRuns(t) {
 		home := r.home
 		if home == "" {
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -13,11 +13,17 @@
 func (c *Core) peerAvailability(e PeerAvailability) {
 	c.scheduleDue = true
 	if !e.Partial {
+		if old := c.peers[e.Peer]; old != nil && len(e.Targets) < len(old.targets) {
+			c.evacuations.withdrawnAt = c.now
+		}
 		c.peers[e.Peer] = &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
 		return
 	}
 	if p := c.peers[e.Peer]; p != nil { // otherwise all targets follow over a new link
 		p.draining = e.Draining
+		if len(e.Removed) > 0 {
+			c.evacuations.withdrawnAt = c.now
+		}
 		p.update(e.Targets, e.Removed)
 	}
 }
@@ -32,7 +38,7 @@
 		i, known := positions[t.Target]
 		switch {
 		case known && t.Service == "":
-			p.targets[i].Free, p.targets[i].Suspect, p.targets[i].Idle = t.Free, t.Suspect, t.Idle
+			p.targets[i].Free, p.targets[i].Suspect, p.targets[i].Idle, p.targets[i].Cold = t.Free, t.Suspect, t.Idle, t.Cold
 		case known:
 			p.targets[i] = t
 		case t.Service != "":
@@ -74,6 +80,7 @@
 // failed itself, their leases expire.
 func (c *Core) peerDisconnected(name string) {
 	delete(c.peers, name)
+	c.evacuations.withdrawnAt = c.now
 	delete(c.linked, name)
 	delete(c.peerHeardAt, name)
 	c.failHandOvers(name)
@@ -113,7 +120,7 @@
 			c.availabilityDirty = true
 		}
 		if t == nil {
-			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: "no room"})
+			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: c.rejectionReason(p)})
 			continue
 		}
 		c.startRun(t, &run{
--- a/placement/options.go
+++ b/placement/options.go
@@ -15,6 +15,8 @@
 	// FirstRef precedes the refs of this process's placements. Reports for an earlier
 	// process may still arrive, so it is random, with its low bits zero.
 	FirstRef uint64
+	// Cold decides when a cold target is warm; the zero value ignores that targets are.
+	Cold ColdRule
 	// UnixMS is the wall-clock time at the start of the core, in Unix ms; the
 	// fencing tokens are based on it.
 	UnixMS int64
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -293,6 +293,7 @@
 	endedByTask := end.Kind == EndDone || end.Kind == EndFailed
 	if r != nil && endedByTask {
 		c.updateHealth(t, r, end.Kind)
+		c.warmUp(t, r, end.Kind)
 	}
 	switch {
 	case endedByTask && (r == nil || r.unknown || r.stored):
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -36,6 +36,7 @@
 		c.place(j, requests)
 	}
 	c.placeTrials(requests)
+	c.refuseEvacuated()
 	c.queue = slices.DeleteFunc(c.queue, func(j *job) bool {
 		j.queued = j.queued && j.hasWaiting()
 		return !j.queued
@@ -176,6 +177,7 @@
 		if owned.health.suspect(c.now) {
 			option.score += suspectCost
 		}
+		option.score += owned.coldCost(c.now, step.Expected)
 		if !found || option.better(&best) {
 			best, found = option, true
 		}
@@ -194,6 +196,7 @@
 			if remote.Suspect {
 				option.score += suspectCost
 			}
+			option.score += remote.coldCost()
 			if !found || option.better(&best) {
 				best, found = option, true
 			}
--- a/placement/simcrashes_test.go
+++ b/placement/simcrashes_test.go
@@ -83,7 +83,7 @@
 	capacity := placement.Resources{CPUMillis: 32000 + 16000*int64(i%3/2), MemoryMB: 1000}
 	t := &simTarget{home: i % len(s.coordinators), ready: true, paths: map[string]*simPath{}}
 	t.runner = emulator.NewRunner(placement.Description{
-		ID: fmt.Sprintf("t%d", i), Service: "desk", Address: fmt.Sprintf("a%d", i), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
+		ID: fmt.Sprintf("t%d", i), Service: "desk", Address: fmt.Sprintf("a%d", i), DataCentre: fmt.Sprintf("dc%d", i%3), Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 		Capacity: capacity, BootUnixMS: 1 + int64(i),
 	}, emulator.RunnerOptions{
 		Lease: simLease, StopTime: simStopTime,
@@ -94,6 +94,7 @@
 		Need:    s.need, OnEndAcked: s.log.OnEndAcked, CrashAfter: s.crashes.crashAfter,
 		OnStart: func(now time.Duration, task string) {
 			s.log.OnStart(now, task)
+			s.evacuations.started(s, t, task)
 			s.crashes.started(task)
 		},
 	})
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -99,6 +99,7 @@
 	for _, id := range sorted(changed) {
 		s.step(c, s.storedChange(c.table.Job(id)))
 	}
+	s.applyEvacuations(c)
 }
 
 func sorted(set map[string]bool) []string {
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -67,6 +67,7 @@
 	clockSpread  time.Duration // largest error of a coordinator's time of day
 	log          *simLog
 	crashes      *simCrashes
+	evacuations  simEvacuations
 }
 
 type simCoordinator struct {
@@ -82,6 +83,8 @@
 	applied  int             // number of log entries that it has applied
 	table    *jobtable.Table // state after them
 	isolated bool            // cannot reach the log
+
+	evacuationVersion int // number of evacuation orders that it has applied
 }
 
 type simTarget struct {
@@ -134,6 +137,7 @@
 	})
 	s.tick(c, c.incarnation)
 	s.startLog(c)
+	s.startEvacuations(c)
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
--- a/placement/target.go
+++ b/placement/target.go
@@ -71,6 +71,9 @@
 	refuses        bool          // the last order found no process at the address
 	lateStartUntil time.Duration // until then a start without a response may arrive
 	reservedUntil  time.Duration // until then only a run that has to be alone may be started
+	evacuated      bool          // its data centre is, see updateEvacuated
+	coldUntil      time.Duration // slow until then
+	warmedUp       bool          // has ended a run in the expected time in this boot
 }
 
 func (t *target) ref() TargetRef { return TargetRef{ID: t.ID, Address: t.Address} }
@@ -137,7 +140,7 @@
 
 // serviceable reports whether the target may get starts unless it is set aside.
 func (t *target) serviceable(now time.Duration) bool {
-	return t.state == ready && !t.restored && !t.Draining && t.failedPolls == 0 && t.admitsStart(now) &&
+	return t.state == ready && !t.evacuated && !t.coldFull(now) && !t.restored && !t.Draining && t.failedPolls == 0 && t.admitsStart(now) &&
 		now-t.heartbeatAt < heartbeatTimeout && t.health.admits(now, len(t.runs))
 }
 
@@ -173,6 +176,7 @@
 	t.Sequence, t.Address, t.Labels, t.Capacity = d.Sequence, d.Address, d.Labels, d.Capacity
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
+	c.setCold(t, d.Cold)
 	if t.restored {
 		t.restored = false
 		c.availabilityChanged()
@@ -243,6 +247,8 @@
 	t.clockMS, t.clockAt = d.ClockMS, c.now
 	t.Draining = d.Draining || c.drainingBoots[d.ID] == d.BootUnixMS && d.BootUnixMS != 0
 	t.token, t.tokenAt = c.newToken(0), c.now
+	c.updateEvacuated(t)
+	c.setCold(t, d.Cold)
 	c.targets[d.ID] = t
 	c.removeFence(t) // it is polled under a newer token from now on
 	c.logDecision(Decision{
--- a/placement/types.go
+++ b/placement/types.go
@@ -121,6 +121,8 @@
 	Sequence   uint64
 	Draining   bool
 	ClockMS    int64 // on the target's monotonic clock
+
+	Cold time.Duration // how long the target is slow after its start or return
 }
 
 // AvailableTarget is a target that may take tasks, with its free capacity.
@@ -131,6 +133,7 @@
 	Free    Resources
 	Suspect bool // considered last: has failed a run or is slow
 	Idle    bool // without runs
+	Cold    bool // slow for a while, considered after warm ones
 
 	Address    string // empty in an update, as Service
 	BootUnixMS int64
--- a/placement/validate.go
+++ b/placement/validate.go
@@ -18,6 +18,8 @@
 	MaxUnixMS = 253_402_300_799_999
 	// maxSequence is out of reach for a target that counts its heartbeats from 0.
 	maxSequence = 1 << 40
+	// maxCold bounds the time that a target is cold.
+	maxCold = 24 * time.Hour
 	// maxTasks bounds the tasks of a job, which coordinators hold in memory.
 	maxTasks = 50_000
 	// MaxExpected bounds the estimated run time of a task, so that the sum over the
@@ -49,6 +51,8 @@
 		return errors.NotValidf("start at %d ms", d.BootUnixMS)
 	case d.ClockMS < 0 || d.ClockMS > MaxUnixMS:
 		return errors.NotValidf("clock at %d ms", d.ClockMS)
+	case d.Cold < 0 || d.Cold > maxCold:
+		return errors.NotValidf("cold for %s", d.Cold)
 	case d.Sequence > maxSequence:
 		return errors.NotValidf("sequence %d", d.Sequence)
 	}
