Serve evacuation orders at the coordinators

Cause: operators order the evacuation of a data centre at any coordinator, and the order has to hold on all of them, also after a loss of all power. Ruled out: waiting until the acknowledging coordinator has applied its own copy of the log (on a slow disk a follower took over 900 ms, and the order was answered 503 although a majority had it); trusting only committed entries after a restart (starts would resume until a leader is elected). Change: POST /Evacuate.Start and /Evacuate.Finish read the log to its end, and propose the order with the revision read, unless its caller has left or it is older than a second. A new process acts on the log on its disk; one without any, and one after a pause of half the bound, withholds starts until a read of the log, for at most half the bound. The log is read each second to know whether the set is confirmed. Tests: handlers, settings, and three specs over real processes: an answer for each case, all coordinators killed, a disk lost. The soak gives orders.

--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -81,11 +81,12 @@
 		TolerableCoordinatorLosses: s.DiskLosses, TolerateDataCentreLoss: s.TolerateDataCentreLoss,
 		AllowBootstrap: s.FirstStart && slices.Contains(s.Seeds, s.IP),
 		Placement: placement.Options{
-			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(),
+			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(), Cold: s.Cold,
 		},
-		Targets: platform.NewTargetClient(),
-		Logger:  p.logger,
-		Decode:  platform.DecodeDocument,
+		Evacuation: cluster.EvacuationOptions{Bound: s.EvacuationBound, DataCentres: s.DataCentres},
+		Targets:    platform.NewTargetClient(),
+		Logger:     p.logger,
+		Decode:     platform.DecodeDocument,
 		HeartbeatAddress: func(name string) string {
 			return net.JoinHostPort(name, strconv.Itoa(s.ControlPort))
 		},
--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -121,7 +121,7 @@
 		t := &targets[i]
 		message = append(message, &wire.Room{
 			Target: t.Target, Service: t.Service, Labels: t.Labels, Free: resourcesToWire(t.Free),
-			Suspect: t.Suspect, Idle: t.Idle, Address: t.Address, BornUnixMs: t.BootUnixMS,
+			Suspect: t.Suspect, Idle: t.Idle, Cold: t.Cold, Address: t.Address, BornUnixMs: t.BootUnixMS,
 		})
 	}
 	return message
@@ -132,7 +132,7 @@
 	for _, r := range message {
 		targets = append(targets, placement.AvailableTarget{
 			Target: r.GetTarget(), Service: r.GetService(), Labels: r.GetLabels(), Free: resourcesFromWire(r.GetFree()),
-			Suspect: r.GetSuspect(), Idle: r.GetIdle(), Address: r.GetAddress(), BootUnixMS: r.GetBornUnixMs(),
+			Suspect: r.GetSuspect(), Idle: r.GetIdle(), Cold: r.GetCold(), Address: r.GetAddress(), BootUnixMS: r.GetBornUnixMs(),
 		})
 	}
 	return targets
@@ -142,7 +142,7 @@
 	return &wire.TargetDescription{
 		Id: d.ID, Service: d.Service, Address: d.Address, DataCentre: d.DataCentre, Labels: d.Labels,
 		Capacity: resourcesToWire(d.Capacity), BornUnixMs: d.BootUnixMS, Sequence: d.Sequence,
-		Draining: d.Draining, ClockMs: d.ClockMS,
+		Draining: d.Draining, ClockMs: d.ClockMS, ColdMs: ms(d.Cold),
 	}
 }
 
@@ -150,7 +150,7 @@
 	return placement.Description{
 		ID: d.GetId(), Service: d.GetService(), Address: d.GetAddress(), DataCentre: d.GetDataCentre(),
 		Labels: d.GetLabels(), Capacity: resourcesFromWire(d.GetCapacity()), BootUnixMS: d.GetBornUnixMs(),
-		Sequence: d.GetSequence(), Draining: d.GetDraining(), ClockMS: d.GetClockMs(),
+		Sequence: d.GetSequence(), Draining: d.GetDraining(), ClockMS: d.GetClockMs(), Cold: fromMS(d.GetColdMs()),
 	}
 }
 
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -27,6 +27,7 @@
 	TolerateDataCentreLoss     bool          // all coordinators of a data centre may be lost at once
 	AllowBootstrap             bool          // first start of the whole system, and among the seeds
 	Placement                  placement.Options
+	Evacuation                 EvacuationOptions
 	Targets                    Targets
 	Logger                     zerolog.Logger
 	// Decode parses the operators' document.
@@ -47,6 +48,10 @@
 	confirmNow chan struct{}
 	runCtx     context.Context // ends with Run
 
+	evacuations *evacuations
+	// evacuationHeld triggers confirmEvacuationsLoop without waiting for its interval.
+	evacuationHeld chan struct{}
+
 	mu        sync.Mutex
 	document  Document
 	services  map[string]bool   // of the document; nil before the first one
@@ -80,6 +85,8 @@
 		rejectedAt: map[string]time.Time{},
 		confirmNow: make(chan struct{}, 1),
 		runCtx:     context.Background(),
+
+		evacuationHeld: make(chan struct{}, 1),
 	}
 	hello := newHello(options.Name, options.DataCentre)
 	hello.Voter = true
@@ -88,6 +95,7 @@
 	c.logNode = &logNode{
 		coordinator: c, store: newStateStore(options.JobRetention), progress: newLogProgress(), applied: make(chan struct{}, 1),
 	}
+	c.evacuations = newEvacuations(options.Evacuation, c.logNode.store, boottimeNow())
 	c.loop = newPlacementLoop(c)
 	c.cache = newTargetCache(options.DataFolder, options.Logger)
 	c.recorder = newRecorder(c)
@@ -111,6 +119,7 @@
 	group.Go(func() error { return c.recorder.run(ctx) })
 	group.Go(func() error { return c.confirmHomeLoop(ctx) })
 	group.Go(func() error { return c.moveHomesLoop(ctx) })
+	group.Go(func() error { return c.confirmEvacuationsLoop(ctx) })
 	return group.Wait()
 }
 
--- a/cluster/evacuation/evacuation.go
+++ b/cluster/evacuation/evacuation.go
@@ -52,6 +52,13 @@
 	return &wire.EvacuationApplied{Outcome: wire.EvacuationOutcome_EVACUATION_OUTCOME_APPLIED, Revision: state.Revision}
 }
 
+// Adopt records a state in force that the log has, unless a later one is known.
+func (s *Set) Adopt(name string, state State) {
+	if s.Get(name).Revision < state.Revision {
+		s.set(name, state)
+	}
+}
+
 func (s *Set) set(name string, state State) {
 	if s.states == nil {
 		s.states = map[string]State{}
@@ -85,9 +92,7 @@
 func Merge(a, b *Set) Set {
 	merged := Set{states: maps.Clone(a.states)}
 	for name, state := range b.states {
-		if merged.Get(name).Revision < state.Revision {
-			merged.set(name, state)
-		}
+		merged.Adopt(name, state)
 	}
 	return merged
 }
--- a/cluster/lognode.go
+++ b/cluster/lognode.go
@@ -92,6 +92,9 @@
 	}
 	options.Logger.Info().Str("event", "data_folder_opened").Str("verdict", disk.OpenResult().String()).
 		Str("disk_incarnation", disk.Incarnation()).Send()
+	if err := l.coordinator.evacuations.diskOpened(&persisted); err != nil {
+		l.warn().Str("event", "evacuations_not_recovered").Err(err).Send()
+	}
 	n, err := node.Start(ctx, node.Options{
 		Name:             options.Name,
 		Incarnation:      disk.Incarnation(),
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -39,7 +39,8 @@
 	lastWaitingJobs   time.Duration
 	availabilityDirty bool
 	publisher         *availabilityPublisher
-	waitingJobsSent   bool // the last update had waiting jobs
+	waitingJobsSent   bool                         // the last update had waiting jobs
+	evacuations       placement.EvacuationsChanged // that the core has
 
 	startMetrics, stopMetrics, pollMetrics *orderMetrics
 	gauges                                 statusGauges
@@ -97,6 +98,7 @@
 			events = l.resetAfterPause(now, now-last, events)
 		}
 		last = now
+		l.stepEvacuations(now) // before the events, which may lead to starts
 		for _, event := range events {
 			l.step(now, event)
 		}
@@ -137,6 +139,7 @@
 	c := l.coordinator
 	c.options.Logger.Warn().Str("event", "process_paused").Int64("length_ms", length.Milliseconds()).
 		Int("events", len(events)).Send()
+	l.evacuationsAfterPause(now, length)
 	c.mesh.CloseLinks()
 	coordinators, gateways := c.coordinators(), c.gateways()
 	l.core.Step(now, placement.ProcessPaused{})
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -68,3 +68,11 @@
 	g.runs.Set(float64(s.Runs))
 	g.freeMillis.Set(float64(s.FreeCPUMillis))
 }
+
+// evacuatedDataCentres is the number of evacuated data centres, as the core has it.
+var evacuatedDataCentres = metrics.GetOrCreateGauge("hawthorn_evacuated_data_centres", nil)
+
+// evacuationOrderCounter counts orders to evacuate data centres by outcome.
+func evacuationOrderCounter(outcome evacuationOutcome) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_evacuation_orders_total{outcome=%q}`, string(outcome)))
+}
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,8 @@
 	allChanged bool            // any job may have changed
 
 	evacuations evacuation.Set
+	// evacuationsChanged is set when the core may lack the newest set.
+	evacuationsChanged atomic.Bool
 }
 
 // newStateStore returns an empty state with a retention time for ended jobs.
@@ -45,8 +48,8 @@
 	return s.evacuations.Get(dataCentre)
 }
 
-// mergedEvacuations returns the evacuations of the log, and those of another set with
-// a higher revision.
+// mergedEvacuations returns the evacuations of the log, and those of another set that
+// have higher revisions.
 func (s *stateStore) mergedEvacuations(other *evacuation.Set) evacuation.Set {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -140,6 +143,7 @@
 	}
 	if order := command.GetEvacuation(); order != nil {
 		answer.EvacuationApplied = s.evacuations.Apply(command.GetClockUnixMs(), order)
+		s.evacuationsChanged.Store(true)
 	}
 	return proto.Marshal(answer)
 }
@@ -167,5 +171,6 @@
 	s.document = Document{Version: state.GetDocument().GetVersion(), Body: state.GetDocument().GetBody()}
 	s.allChanged = true
 	s.evacuations.Restore(state.GetEvacuations())
+	s.evacuationsChanged.Store(true)
 	return errors.Annotate(s.jobs.Restore(&state), "restore jobs")
 }
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -43,6 +43,8 @@
 	stored        sync.Map // IDs of the jobs that have to be stored
 	deadly        sync.Map // IDs of the jobs whose tasks crash the targets that start them
 	runChecker    *emulator.RunChecker
+
+	evacuations evacuationRecords
 }
 
 // Options configure a Deployment.
@@ -73,7 +75,7 @@
 	}
 	for i := range options.Coordinators + options.Gateways {
 		core := i < options.Coordinators
-		machine := standin.Machine{IP: address(options.Network, 10+i), DataCentre: fmt.Sprintf("dc%d", i%2), Core: core}
+		machine := standin.Machine{IP: address(options.Network, 10+i), DataCentre: fmt.Sprintf("dc%d", i%2), Core: core, Zones: zones}
 		boot, err := standin.WriteSettings(options.Folder, machine, seeds, ports, true)
 		if err != nil {
 			return nil, errors.Annotate(err, "write settings")
@@ -91,6 +93,9 @@
 	return d, d.startTargets(ctx, options.Targets)
 }
 
+// zones are the data centres in the settings. The last one has no targets.
+var zones = []string{"dc0", "dc1", "dc2"}
+
 func address(network, host int) string { return fmt.Sprintf("127.77.%d.%d", network, host) }
 
 func (d *Deployment) startTargets(ctx context.Context, count int) error {
@@ -100,7 +105,7 @@
 	}
 	for i := range count {
 		target, err := standin.StartTarget(ctx, standin.TargetOptions{
-			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: fmt.Sprintf("dc%d", i%2),
+			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: targetDataCentre(i),
 			Rack: fmt.Sprintf("r%d", i/4), Capacity: TargetCapacity,
 			Control: control, Epoch: d.epoch, Advertise: d.advertise, Deadly: d.isDeadly,
 			Runner: emulator.RunnerOptions{
@@ -184,10 +189,10 @@
 }
 
 // Violations returns the violated guarantees that targets observed: starts beyond
-// their capacity, tasks with overlapping runs, and tasks of stored jobs that
-// started after they were done.
+// their capacity, tasks with overlapping runs, tasks of stored jobs that started
+// after they were done, and starts in evacuated data centres.
 func (d *Deployment) Violations() []string {
-	violations := d.runChecker.Violations()
+	violations := append(d.runChecker.Violations(), d.lateStarts()...)
 	runs := map[string][]emulator.RunRecord{}
 	for _, target := range d.Targets {
 		violations = append(violations, target.Violations()...)
--- a/integration/deployment/soak_test.go
+++ b/integration/deployment/soak_test.go
@@ -112,7 +112,8 @@
 	for seed := first; seed < first+count; seed++ {
 		// Guards against lost accepted jobs, tasks that run twice and lost documents
 		// under random sequences of signals to processes, silent targets, faults of the
-		// connections to targets, and faults of the targets themselves.
+		// connections to targets, and faults of the targets themselves; and against starts
+		// in a data centre that operators have evacuated meanwhile.
 		It(fmt.Sprintf("loses no accepted job and runs no task twice, seed %d", seed), SpecTimeout(duration+120*time.Second), func(ctx SpecContext) {
 			s := &soak{d: start(ctx, 2, 3+int(seed%2), 6), random: rand.New(rand.NewPCG(seed, 7)), caller: &jobCaller{}, stored: &storedJobs{}}
 			faults := &targetFaults{d: s.d, random: rand.New(rand.NewPCG(seed, 8)), stored: s.stored}
@@ -122,9 +123,15 @@
 				defer GinkgoRecover()
 				faults.run(faultsContext)
 			})
+			evacuations := &evacuationOrders{d: s.d, random: rand.New(rand.NewPCG(seed, 9))}
+			running.Go(func() {
+				defer GinkgoRecover()
+				evacuations.run(faultsContext)
+			})
 			s.run(ctx, duration)
 			stopFaults()
 			running.Wait()
+			evacuations.revoke(ctx)
 			s.stored.expectGuarantees(ctx, s.d)
 			s.caller.expectGuarantees(ctx, s.d)
 			Expect(s.d.WaitServing(ctx, jobID(999_997))).To(Succeed())
