--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/cluster"
+	"hawthornshore.example/operatorapi"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/platform"
 )
@@ -45,7 +46,11 @@
 	if err := startServer(ctx, group, s.ControlAddress, control); err != nil {
 		return err
 	}
-	address, metrics := p.metricsServer()
+	var pages []page
+	if coordinator.EvacuationsEnabled() {
+		pages = append(pages, page{operatorapi.PathEvacuations, evacuationsHandler(coordinator)})
+	}
+	address, metrics := p.metricsServer(pages...)
 	if err := startServer(ctx, group, address, metrics); err != nil {
 		return err
 	}
--- a/apps/hawthorn-platform/process.go
+++ b/apps/hawthorn-platform/process.go
@@ -137,12 +137,21 @@
 	return nil
 }
 
+// page is a further path of the metrics address, answered to GET.
+type page struct {
+	path   string
+	handle http.HandlerFunc
+}
+
 // metricsServer returns the address and the server of the metrics.
-func (p *process) metricsServer() (string, *http.Server) {
+func (p *process) metricsServer(pages ...page) (string, *http.Server) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		writeMetrics(w)
 	})
+	for _, page := range pages {
+		mux.HandleFunc("GET "+page.path, page.handle)
+	}
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.MetricsPort)), &http.Server{
 		Handler: mux, ReadHeaderTimeout: readHeaderTimeout,
 	}
--- a/apps/hawthornctl/internal/api/operator.go
+++ b/apps/hawthornctl/internal/api/operator.go
@@ -27,6 +27,11 @@
 	return getAll[operatorapi.Classes](ctx, c, operatorapi.PathClasses)
 }
 
+// Evacuations queries the evacuated data centres of all addressed coordinators.
+func (c *Client) Evacuations(ctx context.Context) []Reply[operatorapi.Evacuations] {
+	return getAll[operatorapi.Evacuations](ctx, c, operatorapi.PathEvacuations)
+}
+
 // Members returns the member list of the first address that answers.
 func (c *Client) Members(ctx context.Context) (operatorapi.Members, error) {
 	return getFirst[operatorapi.Members](ctx, c, operatorapi.PathMembers, nil)
--- a/apps/hawthornctl/internal/cli/run.go
+++ b/apps/hawthornctl/internal/cli/run.go
@@ -22,6 +22,12 @@
 	Classes classesCommand `cmd:"" help:"Show load, estimated run times and slots by class."`
 	Job     jobCommands    `cmd:"" help:"Submit, query and cancel jobs."`
 	Drain   drainCommand   `cmd:"" help:"Stop one instance gracefully."`
+
+	Deployment deploymentCommands `cmd:"" help:"Show the state of coordinators on the users' platform."`
+}
+
+type deploymentCommands struct {
+	Evacuations deploymentEvacuationsCommand `cmd:"" help:"List the evacuated data centres known to the addressed coordinators."`
 }
 
 type configCommands struct {
--- a/cluster/evacuations_test.go
+++ b/cluster/evacuations_test.go
@@ -56,7 +56,7 @@
 			Snapshot: snapshot(order("dc0", true, 0), order("dc1", true, 0)),
 			Entries: []*consensus.Entry{
 				entry(2, order("dc1", true, 0)), // in the snapshot
-				{Index: 3}, // no command
+				{Index: 3},                      // no command
 				entry(4, order("dc2", true, 0)),
 				entry(5, order("dc1", false, 1)),
 				entry(6, order("dc0", false, 0)), // conflicts
--- a/integration/deployment/evacuation_test.go
+++ b/integration/deployment/evacuation_test.go
@@ -90,6 +90,10 @@
 		}
 		Expect(d.Evacuate(ctx, "dc0", true)).To(Succeed())
 		Expect(d.Evacuate(ctx, "dc1", true)).To(Succeed())
+		for _, coordinator := range c {
+			Eventually(ctx, func() ([]string, error) { return d.KnownEvacuations(ctx, coordinator) }).
+				WithTimeout(20 * time.Second).Should(Equal([]string{"dc0", "dc1", "dc2"}))
+		}
 		Eventually(ctx, func() int { return d.Submit(ctx, d.Gateways[0], jobID(700_001), 1).Status }).WithTimeout(20 * time.Second).Should(Equal(503))
 		Expect(d.Evacuate(ctx, "dc1", false)).To(Succeed())
 		Eventually(ctx, func() int { return d.Submit(ctx, d.Gateways[0], jobID(700_002), 1).Status }).WithTimeout(20 * time.Second).Should(Equal(200))
--- a/integration/deployment/evacuations.go
+++ b/integration/deployment/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"hawthornshore.example/operatorapi"
 	"hawthornshore.example/platform/standin"
 )
 
@@ -121,6 +123,33 @@
 
 func targetDataCentre(index int) string { return fmt.Sprintf("dc%d", index%2) }
 
+// KnownEvacuations returns the evacuated data centres that a coordinator knows, if the
+// log has confirmed them.
+func (d *Deployment) KnownEvacuations(ctx context.Context, coordinator *Process) ([]string, error) {
+	url := fmt.Sprintf("http://%s:%d%s", coordinator.Machine.IP, ports.Link+1, operatorapi.PathEvacuations)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	response, err := d.client.HTTP.Do(request)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	var reply operatorapi.Evacuations
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if !reply.Confirmed {
+		return nil, errors.New("not confirmed")
+	}
+	names := []string{}
+	for _, evacuation := range reply.Evacuations {
+		names = append(names, evacuation.DataCentre)
+	}
+	return names, nil
+}
+
 // EraseData removes the data folder of a coordinator that is not running, as the loss
 // of its disk does.
 func (d *Deployment) EraseData(coordinator *Process) error {
