--- a/placement/cold.go
+++ b/placement/cold.go
@@ -40,6 +40,22 @@
 // coldFull reports whether a cold target has as many runs as it may.
 func (t *target) coldFull(now time.Duration) bool { return len(t.runs) >= coldRuns && t.cold(now) }
 
+// offered returns the capacity that other coordinators may use. They place several
+// tasks before they see the effect, so a cold target offers only the quarters without
+// a run.
+func (t *target) offered(now time.Duration) Resources {
+	free := t.free()
+	if !t.cold(now) {
+		return free
+	}
+	quarters := int64(max(coldRuns-len(t.runs), 0))
+	return Resources{
+		CPUMillis: min(free.CPUMillis, t.Capacity.CPUMillis*quarters/coldRuns),
+		MemoryMB:  min(free.MemoryMB, t.Capacity.MemoryMB*quarters/coldRuns),
+		GPUs:      min(free.GPUs, t.Capacity.GPUs*quarters/coldRuns),
+	}
+}
+
 // coldCost returns the cost of a task on a target. A task that ends before the target
 // is warm costs nothing: it warms the target up, within coldRuns.
 func (t *target) coldCost(now, expected time.Duration) float64 {
--- a/placement/core.go
+++ b/placement/core.go
@@ -196,7 +196,7 @@
 		t := c.targets[id]
 		if !c.draining && t.usable(c.now) {
 			available = append(available, AvailableTarget{
-				Target: id, Service: t.Service, Labels: t.Labels, Free: t.free(), Suspect: t.health.suspect(c.now),
+				Target: id, Service: t.Service, Labels: t.Labels, Free: t.offered(c.now), Suspect: t.health.suspect(c.now),
 				Idle: len(t.runs) == 0, Cold: t.cold(c.now), Address: t.Address, BootUnixMS: t.BootUnixMS,
 			})
 		}
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -43,12 +43,16 @@
 		c.updateEvacuated(t)
 	}
 	c.withdrawUnsentStarts()
-	c.availabilityChanged()
+	c.scheduleDue = true // jobs may have to be refused
 }
 
 // updateEvacuated updates the flag of a target that placement checks.
 func (c *Core) updateEvacuated(t *target) {
-	t.evacuated = c.evacuations.unknown || c.evacuations.dataCentres[t.DataCentre]
+	evacuated := c.evacuations.unknown || c.evacuations.dataCentres[t.DataCentre]
+	if evacuated != t.evacuated {
+		t.evacuated = evacuated
+		c.availabilityChanged()
+	}
 }
 
 // withdrawUnsentStarts takes back the starts on evacuated targets that wait among the
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -98,6 +98,16 @@
 		Expect(h.core.AvailableTargets()).To(BeEmpty())
 	})
 
+	// Guards against a target that keeps the state of the data centre that it has left.
+	It("are those of the data centre in the last heartbeat", func() {
+		h.evacuate("dc1")
+		moved := description("t", 2)
+		moved.DataCentre = "dc1"
+		h.step(0, placement.Heartbeat{Description: moved})
+		h.submit("0000000000000001", 1, 1)
+		Expect(startsAt(h)).To(BeEmpty())
+	})
+
 	// Guards against a start that another coordinator requests before it sees that the
 	// target is withdrawn.
 	It("are withdrawn, and placements on their way are rejected with the reason", func() {
@@ -235,6 +245,34 @@
 		h := coldHarness(placement.ColdRule{})
 		h.submit("0000000000000001", 9, 1)
 		Expect(startsAt(h)).To(HaveLen(9))
+		Expect(h.core.AvailableTargets()[0].Cold).To(BeFalse())
+	})
+
+	// Guards against other coordinators that place more tasks than the target takes before
+	// they see the effect of the first ones.
+	It("offer other coordinators the quarters without a run", func() {
+		h := coldHarness(rule)
+		h.submit("0000000000000001", 1, 1)
+		Expect(h.core.AvailableTargets()).To(ConsistOf(And(
+			HaveField("Cold", true), HaveField("Free.CPUMillis", int64(150_000)), HaveField("Free.MemoryMB", int64(750)),
+		)))
+	})
+
+	// Guards against a cold target of another coordinator that is preferred to a warm one.
+	It("of other coordinators are considered after warm ones", func() {
+		h := coldHarness(rule)
+		h.step(0, placement.Heartbeat{Description: func() placement.Description {
+			d := description("cold", 2)
+			d.Draining = true
+			return d
+		}()})
+		cold := availableTarget("a", 32000)
+		cold.Cold = true
+		h.step(0, placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{cold, availableTarget("b", 32000)}})
+		h.submit("0000000000000001", 1, 1)
+		requests := take[placement.RequestPlacements](h)
+		Expect(requests).To(HaveLen(1))
+		Expect(requests[0].Placements[0].Target).To(Equal("b"))
 	})
 })
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -177,6 +177,8 @@
 	t.Draining = t.Draining || d.Draining
 	t.heartbeatAt = c.now
 	c.setCold(t, d.Cold)
+	t.DataCentre = d.DataCentre
+	c.updateEvacuated(t)
 	if t.restored {
 		t.restored = false
 		c.availabilityChanged()
