Test that a paused coordinator proposes no order that its caller has given up

Cause: an order may reach a coordinator while that is paused, and its caller moves on after a second. Change: a spec over real processes pauses each coordinator during an order.

--- a/integration/deployment/evacuation_test.go
+++ b/integration/deployment/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,9 @@
 	"hawthornshore.example/integration/deployment"
 )
 
+// stopDelay is how long a process may run on after a SIGSTOP beside other load.
+const stopDelay = 300 * time.Millisecond
+
 var _ = Describe("evacuations in a deployment of separate processes", func() {
 	// load submits jobs one after the other.
 	load := func(ctx context.Context, d *deployment.Deployment, jobs *storedJobs, caller *jobCaller, count int) {
@@ -70,6 +74,24 @@
 		})
 	})
 
+	// Guards against an order that takes effect after its operator has given it up, because
+	// the coordinator was paused.
+	It("are not ordered by callers that have left", specTimeout, func(ctx SpecContext) {
+		d := start(ctx, 1, 3, 2)
+		for _, coordinator := range d.Coordinators {
+			Expect(coordinator.Signal(syscall.SIGSTOP)).To(Succeed())
+			time.Sleep(stopDelay)
+			Expect(d.OrderEvacuation(ctx, coordinator, "dc0", true)).To(BeZero())
+			Expect(coordinator.Signal(syscall.SIGCONT)).To(Succeed())
+			time.Sleep(time.Second)
+		}
+		for _, coordinator := range d.Coordinators {
+			Eventually(ctx, func() ([]string, error) { return d.KnownEvacuations(ctx, coordinator) }).
+				WithTimeout(20 * time.Second).Should(BeEmpty())
+		}
+		Expect(d.LogLines("event=evacuation_order")).NotTo(ContainSubstring("outcome=applied"))
+	})
+
 	// Guards against a wrong answer to an order.
 	It("are answered by the data centre and the state of the log", specTimeout, func(ctx SpecContext) {
 		d := start(ctx, 1, 3, 2)
