Refuse no jobs for an evacuation where no other coordinator is linked

Cause: a coordinator that has lost its links does not know the targets of the others, so the reason would be wrong and the retry delay too long; gateways on the other side may place the job at once. Change: such a coordinator lets jobs wait as without evacuations.

--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -31,6 +31,7 @@
 	// withdrawnAt is when another coordinator last withdrew a target. Until
 	// withdrawalGrace later it may offer it again.
 	withdrawnAt time.Duration
+	hadPeers    bool // another coordinator has sent its targets
 }
 
 func (c *Core) evacuationsChanged(e EvacuationsChanged) {
@@ -101,9 +102,11 @@
 }
 
 // refuseEvacuated refuses the jobs that wait for their first start and that no target
-// outside the evacuated data centres can serve.
+// outside the evacuated data centres can serve. A coordinator that has lost all others
+// does not know their targets, and refuses jobs as without evacuations.
 func (c *Core) refuseEvacuated() {
-	if len(c.evacuations.dataCentres) == 0 || c.evacuations.unknown || c.now-c.evacuations.withdrawnAt < withdrawalGrace {
+	e := &c.evacuations
+	if len(e.dataCentres) == 0 || e.unknown || c.now-e.withdrawnAt < withdrawalGrace || e.hadPeers && len(c.peers) == 0 {
 		return
 	}
 	for _, j := range slices.Clone(c.queue) {
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -179,6 +179,11 @@
 		Expect(take[placement.AnswerJob](h)).To(BeEmpty(), "the other coordinator's target is only full")
 		h.step(0, placement.PeerAvailability{Peer: "c1", Partial: true, Removed: []string{"r"}})
 		Expect(take[placement.AnswerJob](h)).To(BeEmpty(), "its target may be back at once")
+		h.step(0, placement.PeerDisconnected{Peer: "c1"})
+		h.step(time.Second, placement.Tick{})
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(HaveField("Reason", "no room")))
+		h.submit("0000000000000002", 1, 2)
+		Expect(take[placement.AnswerJob](h)).To(BeEmpty(), "others may have targets")
 	})
 
 	// Guards against a coordinator that starts tasks before it knows the evacuations, and
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -12,6 +12,7 @@
 
 func (c *Core) peerAvailability(e PeerAvailability) {
 	c.scheduleDue = true
+	c.evacuations.hadPeers = true
 	if !e.Partial {
 		if old := c.peers[e.Peer]; old != nil && len(e.Targets) < len(old.targets) {
 			c.evacuations.withdrawnAt = c.now
