Test evacuations with a coordinator that is paused during the order

Cause: a coordinator that resumes after the bound has missed the order and still owns targets. Change: a spec over real processes pauses one beyond the bound.

--- a/integration/deployment/evacuation_test.go
+++ b/integration/deployment/evacuation_test.go
@@ -74,6 +74,23 @@
 		})
 	})
 
+	// Guards against starts by a coordinator that has missed the order and resumes after
+	// the bound.
+	It("are followed by a coordinator that was paused during the order", specTimeout, func(ctx SpecContext) {
+		d := start(ctx, 1, 3, 6)
+		jobs, caller := &storedJobs{}, &jobCaller{}
+		load(ctx, d, jobs, caller, 20)
+		Expect(d.Coordinators[0].Signal(syscall.SIGSTOP)).To(Succeed())
+		Expect(d.Evacuate(ctx, "dc0", true)).To(Succeed())
+		load(ctx, d, jobs, caller, 20)
+		time.Sleep(deployment.EvacuationBound)
+		Expect(d.Coordinators[0].Signal(syscall.SIGCONT)).To(Succeed())
+		load(ctx, d, jobs, caller, 100)
+		Expect(d.Evacuate(ctx, "dc0", false)).To(Succeed())
+		jobs.expectGuarantees(ctx, d)
+		caller.expectGuarantees(ctx, d) // no late starts, among others
+	})
+
 	// Guards against an order that takes effect after its operator has given it up, because
 	// the coordinator was paused.
 	It("are not ordered by callers that have left", specTimeout, func(ctx SpecContext) {
