--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/cluster"
+	"hawthornshore.example/operatorapi"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/platform"
 )
@@ -45,7 +46,11 @@
 	if err := startServer(ctx, group, s.ControlAddress, control); err != nil {
 		return err
 	}
-	address, metrics := p.metricsServer()
+	var pages []page
+	if coordinator.EvacuationsEnabled() {
+		pages = append(pages, page{operatorapi.PathEvacuations, evacuationsHandler(coordinator)})
+	}
+	address, metrics := p.metricsServer(pages...)
 	if err := startServer(ctx, group, address, metrics); err != nil {
 		return err
 	}
@@ -81,11 +86,12 @@
 		TolerableCoordinatorLosses: s.DiskLosses, TolerateDataCentreLoss: s.TolerateDataCentreLoss,
 		AllowBootstrap: s.FirstStart && slices.Contains(s.Seeds, s.IP),
 		Placement: placement.Options{
-			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(),
+			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(), Cold: s.Cold,
 		},
-		Targets: platform.NewTargetClient(),
-		Logger:  p.logger,
-		Decode:  platform.DecodeDocument,
+		Evacuation: cluster.EvacuationOptions{Bound: s.EvacuationBound, DataCentres: s.DataCentres},
+		Targets:    platform.NewTargetClient(),
+		Logger:     p.logger,
+		Decode:     platform.DecodeDocument,
 		HeartbeatAddress: func(name string) string {
 			return net.JoinHostPort(name, strconv.Itoa(s.ControlPort))
 		},
