Answer late repeats of cancelled jobs that are not stored as cancelled

Ruled out: a gateway that submits the earlier request again; another home. The home of the job tells the linked coordinators and records the ID in the log before it acknowledges; coordinators that link up later are told, too. A repeat that waits for the end of earlier runs is cancelled with its job. A caller that repeats a cancellation whose acknowledgement failed gets 200.

--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -101,6 +101,7 @@
 			l.step(now, event)
 		}
 		l.stepStoredJobs(now)
+		l.stepCancelled(now)
 		l.executeEffects(ctx, now)
 	}
 }
@@ -110,6 +111,7 @@
 	switch e := event.(type) {
 	case placement.PeerConnected:
 		l.publisher.forget(e.Peer)
+		l.sendCancelled(e.Peer)
 	case placement.PeerDisconnected:
 		l.publisher.forget(e.Peer)
 	}
@@ -344,19 +346,20 @@
 }
 
 // queryJob returns the state of a job that is not stored, and cancels the job if
-// cancel is set.
-func (l *placementLoop) queryJob(ctx context.Context, id string, cancel bool) (*wire.JobState, error) {
-	state := &wire.JobState{}
-	err := l.do(ctx, func(now time.Duration) {
+// cancel is set. A cancelled job is found again by a repeated cancellation only.
+func (l *placementLoop) queryJob(ctx context.Context, id string, cancel bool) (state *wire.JobState, cancelled bool, err error) {
+	state = &wire.JobState{}
+	err = l.do(ctx, func(now time.Duration) {
 		state.Active, state.Started = l.core.Job(id)
+		cancelled = cancel && (state.Active || l.core.Cancelled(id))
 		if state.Active && cancel {
 			l.core.Step(now, placement.Cancel{JobID: id})
 		}
 	})
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	return state, nil
+	return state, cancelled, nil
 }
 
 func (l *placementLoop) idle() bool {
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -39,6 +39,10 @@
 		c.handleHandOver(peer, body.TargetHandOver)
 	case *wire.Envelope_TargetDrain:
 		c.handleTargetDrain(body.TargetDrain)
+	case *wire.Envelope_CancelledJobs:
+		for _, id := range body.CancelledJobs.GetJobIds() {
+			c.loop.push(placement.Cancel{JobID: id})
+		}
 	}
 }
 
@@ -106,6 +110,10 @@
 			DocumentAnswer: &wire.DocumentAnswer{Version: document.Version, Body: document.Body},
 		}}, err
 	case *wire.Envelope_JobQuestion:
+		if body.JobQuestion.GetCancelled() {
+			state := &wire.JobState{}
+			return &wire.Envelope{Body: &wire.Envelope_JobState{JobState: state}}, c.rememberCancelled(ctx, body.JobQuestion.GetJobId())
+		}
 		state, err := c.handleJobQuery(ctx, body.JobQuestion.GetJobId(), body.JobQuestion.GetCancel())
 		return &wire.Envelope{Body: &wire.Envelope_JobState{JobState: state}}, err
 	case *wire.Envelope_TargetHandOver:
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -21,6 +21,7 @@
 	jobs       *jobtable.Table
 	changed    map[string]bool // IDs of the jobs changed since takeChanged
 	allChanged bool            // any job may have changed
+	cancelled  []string        // IDs of cancelled jobs that are not stored, since takeCancelled
 }
 
 // newStateStore returns an empty state with a retention time for ended jobs.
@@ -116,6 +117,7 @@
 	if len(command.GetJobs()) > 0 {
 		verdicts, changed := s.jobs.Apply(command.GetClockUnixMs(), command.GetJobs())
 		answer.Verdicts = verdicts
+		s.noteCancelled(command.GetJobs())
 		for _, j := range changed {
 			s.changed[j.ID] = true
 		}
@@ -144,5 +146,8 @@
 	defer s.mu.Unlock()
 	s.document = Document{Version: state.GetDocument().GetVersion(), Body: state.GetDocument().GetBody()}
 	s.allChanged = true
+	for _, record := range state.GetCancelled() {
+		s.cancelled = append(s.cancelled, record.GetJobId())
+	}
 	return errors.Annotate(s.jobs.Restore(&state), "restore jobs")
 }
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -72,9 +72,17 @@
 func (c *Coordinator) handleJobQuery(ctx context.Context, id string, cancel bool) (*wire.JobState, error) {
 	ctx, stop := context.WithTimeout(ctx, jobQueryTimeout)
 	defer stop()
-	state, err := c.loop.queryJob(ctx, id, cancel)
-	if err != nil || state.GetActive() {
-		return state, err
+	state, cancelled, err := c.loop.queryJob(ctx, id, cancel)
+	switch {
+	case err != nil:
+		return nil, err
+	case cancelled:
+		if !state.GetActive() {
+			state.Stored = wire.StoredState_STORED_STATE_CANCELLED
+		}
+		return state, c.recordCancel(ctx, id)
+	case state.GetActive():
+		return state, nil
 	}
 	state.Stored = c.awaitEnd(ctx, id, cancel)
 	if state.Stored == wire.StoredState_STORED_STATE_NONE {
--- a/jobtable/table.go
+++ b/jobtable/table.go
@@ -50,6 +50,7 @@
 	jobs      map[string]*Job // by ID
 	ended     []*Job          // by time of end
 	clockMS   int64           // highest Unix time of a proposer
+	cancelled []CancelledJob  // jobs that are not stored, by time
 }
 
 // New returns an empty table that removes ended jobs after the retention time.
@@ -86,6 +87,7 @@
 func (t *Table) Apply(clockMS int64, commands []*wire.JobCommand) ([]wire.CommandVerdict, []*Job) {
 	t.clockMS = max(t.clockMS, clockMS)
 	t.removeExpired()
+	t.removeExpiredCancels()
 	verdicts := make([]wire.CommandVerdict, 0, len(commands))
 	var changed []*Job
 	for _, command := range commands {
@@ -190,6 +192,9 @@
 }
 
 func (t *Table) cancel(c *wire.JobCancel) (wire.CommandVerdict, []*Job) {
+	if c.GetNotStored() {
+		t.recordCancel(c.GetJobId())
+	}
 	j := t.jobs[c.GetJobId()]
 	if j == nil {
 		return verdictUnknownJob, nil
@@ -254,6 +259,7 @@
 // Snapshot writes the table into a state.
 func (t *Table) Snapshot(state *wire.CoordinatorState) {
 	state.ClockUnixMs = t.clockMS
+	t.snapshotCancelled(state)
 	for _, j := range t.Jobs() {
 		stored := &wire.StoredJob{
 			Job: j.Submission, Home: j.Home, Epoch: int32(j.Epoch), State: j.State, EndedUnixMs: j.EndedMS,
@@ -281,6 +287,7 @@
 // Restore replaces the contents of the table by those of a state.
 func (t *Table) Restore(state *wire.CoordinatorState) error {
 	t.jobs, t.ended, t.clockMS = map[string]*Job{}, nil, state.GetClockUnixMs()
+	t.restoreCancelled(state)
 	for _, stored := range state.GetJobs() {
 		j := &Job{
 			ID: stored.GetJob().GetJobId(), Home: stored.GetHome(), Epoch: int(stored.GetEpoch()),
--- a/placement/core.go
+++ b/placement/core.go
@@ -57,6 +57,7 @@
 	lostTargets      []lostTarget                // that may have crashed, lost here
 	remembered       map[string]rememberedLosses // by job
 	crashesCheckedAt time.Duration
+	cancelled        cancelledIDs
 
 	lastExpiry        time.Duration
 	availabilityDirty bool // available targets have changed since the last Ready
@@ -85,6 +86,7 @@
 		reports:       map[string][]queuedReport{},
 		handOvers:     map[string][]sentHandOver{},
 		remembered:    map[string]rememberedLosses{},
+		cancelled:     cancelledIDs{at: map[string]time.Duration{}},
 	}
 }
 
--- a/placement/events.go
+++ b/placement/events.go
@@ -17,7 +17,8 @@
 // Withdraw reports that the caller of a job has left.
 type Withdraw struct{ Caller Caller }
 
-// Cancel cancels a job of any caller.
+// Cancel cancels a job of any caller that is not stored. Later submissions of its ID
+// are answered as cancelled, whether or not the job was active here.
 type Cancel struct{ JobID string }
 
 // GatewayDisconnected reports that the link to a gateway has failed. The
--- a/placement/home.go
+++ b/placement/home.go
@@ -59,6 +59,10 @@
 // submit accepts a job. A job that is already active keeps its tasks: the second
 // caller replaces the first one, or waits until the runs have ended.
 func (c *Core) submit(e Submit) {
+	if c.Cancelled(e.Job.ID) {
+		c.refuseCancelled(e)
+		return
+	}
 	if old := c.jobs[e.Job.ID]; old != nil {
 		c.resubmit(old, e)
 		return
@@ -148,22 +152,15 @@
 }
 
 // Job reports whether a job that is not stored is active here, and whether a
-// task may have started.
+// task may have started. One that waits for the end of earlier runs is active.
 func (c *Core) Job(id string) (active, started bool) {
 	j := c.jobs[id]
-	if j == nil || j.ending || j.Stored {
+	if j == nil || j.ending && j.successor == nil || j.Stored {
 		return false, false
 	}
 	return true, j.started
 }
 
-func (c *Core) cancel(id string) {
-	if j := c.jobs[id]; j != nil && !j.ending && !j.Stored {
-		c.answerJob(j, Cancelled, "cancelled", 0)
-		c.endJob(j)
-	}
-}
-
 func (c *Core) gatewayDisconnected(gateway string) {
 	for _, id := range sortedKeys(c.jobs) {
 		j := c.jobs[id]
