Count no crashes of targets as attempts of a stored job

Cause: a task was given up after two crashes of its targets if it was alone on one of them. Crashes of a target for reasons of its own cannot be told from that. Ruled out: failed ends of the target; the counting in jobtable. Change: a task of a stored job is not given up. FailTask is removed. Jobs that are not stored are given up as before.

--- a/jobtable/crashes.go
+++ b/jobtable/crashes.go
@@ -6,8 +6,8 @@
 	"hawthornshore.example/wire"
 )
 
-// maxLosses bounds the recorded losses of a task. A task is given up after fewer
-// crashes; the oldest losses are the least useful ones.
+// maxLosses bounds the recorded losses of a task. The delay of its trials grows up to
+// fewer crashes; the oldest losses are the least useful ones.
 const maxLosses = 8
 
 // recordLoss adds or replaces the record of a lost run, or removes it.
--- a/placement/home.go
+++ b/placement/home.go
@@ -49,9 +49,11 @@
 	avoid     string        // target that the last run failed on
 	mayBeDone bool          // of a stored job: the last run may count as done
 	notBefore time.Duration
-	losses    []loss // of runs that may have crashed their targets
-	trial     bool   // the last run is alone on its target
-	convicted bool   // has crashed its targets; is not started again
+	// trialNotBefore is when a task that may have crashed its targets may be tried again.
+	trialNotBefore time.Duration
+	losses         []loss // of runs that may have crashed their targets
+	trial          bool   // the last run is alone on its target
+	convicted      bool   // has crashed its targets; is not started again
 }
 
 func (t *task) name() string { return taskName(t.job.ID, t.step, t.index) }
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -39,14 +39,6 @@
 	Cleared bool
 }
 
-// FailTask requests a record in the log that a task has failed: the runs from First to
-// Last, which are never started, are recorded as failed. Coordinators of earlier
-// versions apply this record in the same way.
-type FailTask struct {
-	Task        string
-	First, Last int
-}
-
 func (t *task) suspected() bool { return len(t.losses) > 0 }
 
 // lossOf returns the loss of a run, or nil.
@@ -72,6 +64,9 @@
 	c.judgeTask(t)
 }
 
+// maxTaskLosses bounds the losses of a task, like those in the log.
+const maxTaskLosses = 8
+
 func (c *Core) addLoss(t *task, l *loss) {
 	if l.Crashed {
 		l.verdict = crashed
@@ -80,6 +75,7 @@
 		c.suspects = append(c.suspects, t)
 	}
 	t.losses = append(t.losses, *l)
+	t.losses = t.losses[max(len(t.losses)-maxTaskLosses, 0):]
 }
 
 // restoreLosses adds the losses in the log that are unknown here.
@@ -168,13 +164,15 @@
 	})
 }
 
-// judgeTask gives a task up once enough targets have crashed under it. Crashes beside
-// other runs are not enough, because one of those may be the cause.
+// judgeTask gives a task up, or delays it if its job is stored, once enough targets have
+// crashed under it. Crashes beside other runs are not enough, because one of those may be
+// the cause.
 func (c *Core) judgeTask(t *task) {
-	crashes, alone := 0, 0
+	crashes, alone, last := 0, 0, time.Duration(0)
 	for i := range t.losses {
 		if t.losses[i].Crashed {
 			crashes++
+			last = max(last, t.losses[i].at)
 			if t.losses[i].Alone {
 				alone++
 			}
@@ -183,17 +181,15 @@
 	if t.convicted || t.state == done || crashes < sharedCrashesToConvict && (crashes < crashesToConvict || alone == 0) {
 		return
 	}
+	if t.job.Stored {
+		c.delayTrial(t, crashes, last)
+		return
+	}
 	t.convicted = true
 	reason := "task " + t.name() + " has crashed " + strconv.Itoa(crashes) + " targets"
 	c.logDecision(Decision{Event: "task_convicted", Job: t.job.ID, Task: t.name(), Reason: reason, Age: c.now - t.job.submittedAt, Value: int64(crashes)})
-	if !t.job.Stored {
-		c.answerJob(t.job, Failed, reason, 0)
-		c.endJob(t.job)
-		return
-	}
-	first := t.runs + 1
-	t.runs, t.mayBeDone = t.runs+max(t.job.MaxAttempts-t.failures, 1), false
-	c.emit(FailTask{Task: t.name(), First: first, Last: t.runs})
+	c.answerJob(t.job, Failed, reason, 0)
+	c.endJob(t.job)
 }
 
 // mayShareTarget reports whether a task may run beside others. A suspect that may
@@ -212,7 +208,7 @@
 func (c *Core) wantsTrial(t *task) bool {
 	j := t.job
 	return t.state == waiting && !t.convicted && !t.mayBeDone && !j.ending && c.jobs[j.ID] == j &&
-		c.now >= t.notBefore && c.now-t.placedAt >= trialRetryDelay && (!j.Stored || c.homeLeaseValid()) &&
+		c.now >= max(t.notBefore, t.trialNotBefore) && c.now-t.placedAt >= trialRetryDelay && (!j.Stored || c.homeLeaseValid()) &&
 		j.stepReady(t.step) && !c.mayShareTarget(t) && !t.awaitsEvidence()
 }
 
