--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -88,6 +88,7 @@
 	c.logNode = &logNode{
 		coordinator: c, store: newStateStore(options.JobRetention), progress: newLogProgress(), applied: make(chan struct{}, 1),
 	}
+	c.logNode.catchUp.read = c.logNode.readBarrier
 	c.loop = newPlacementLoop(c)
 	c.cache = newTargetCache(options.DataFolder, options.Logger)
 	c.recorder = newRecorder(c)
--- a/cluster/lognode.go
+++ b/cluster/lognode.go
@@ -40,6 +40,7 @@
 	progress    *logProgress
 	node        atomic.Pointer[node.Node] // nil until the data folder is open
 	applied     chan struct{}             // signals applied entries
+	catchUp     catchUp
 }
 
 // Send implements node.Transport.
--- a/cluster/proposals.go
+++ b/cluster/proposals.go
@@ -84,6 +84,15 @@
 // readBarrier returns once this coordinator has applied every command that was
 // acknowledged before the call.
 func (l *logNode) readBarrier(ctx context.Context) error {
+	startedAt := boottimeNow()
+	err := l.readToEnd(ctx)
+	if err == nil {
+		l.catchUp.confirm(startedAt)
+	}
+	return err
+}
+
+func (l *logNode) readToEnd(ctx context.Context) error {
 	n := l.node.Load()
 	if n == nil {
 		return jujuerrors.Annotate(ErrNoQuorum, "data folder is not open")
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -43,6 +43,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, logOperationTimeout)
 	defer cancel()
+	if err := c.logNode.catchUp.check(ctx); err != nil {
+		return refusal(err.Error())
+	}
 	_, err := c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
 		Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: submission, Home: c.options.Placement.Home}},
 	}}})
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -25,6 +25,7 @@
 	commit         uint64
 	applied        uint64    // last index emitted in Apply or InstallSnapshot
 	pendingInstall *Snapshot // received and not yet emitted in InstallSnapshot
+	incoming       incomingSnapshot
 	memberLog      []indexedMembers
 
 	electionDue   time.Time
@@ -237,7 +238,7 @@
 		c.handleVoteReply(m, reply)
 		return
 	}
-	fromLeader := m.GetAppendRequest() != nil || m.GetSnapshotRequest() != nil
+	fromLeader := m.GetAppendRequest() != nil || m.GetSnapshotRequest() != nil || m.GetSnapshotPiece() != nil
 	if m.Term < c.term {
 		if fromLeader {
 			c.replyWhenDurable(m.From, &Message{Body: &Message_AppendReply{AppendReply: &AppendReply{Rejected: true}}})
@@ -259,6 +260,10 @@
 		c.handleSnapshotRequest(m.From, body.SnapshotRequest)
 	case *Message_SnapshotReply:
 		c.handleSnapshotReply(m.From, body.SnapshotReply)
+	case *Message_SnapshotPiece:
+		c.handleSnapshotPiece(m.From, body.SnapshotPiece)
+	case *Message_SnapshotPieceReply:
+		c.handleSnapshotPieceReply(m.From, body.SnapshotPieceReply)
 	case *Message_TimeoutNow:
 		c.handleTimeoutNow(m.From)
 	}
--- a/consensus/persist.go
+++ b/consensus/persist.go
@@ -212,21 +212,8 @@
 	c.persist.snapshot = c.snapshot
 	c.bytesSinceSnapshot = 0
 	c.compactMembers(e.Index)
-	c.log.compactTo(c.log.compactIndex(e.Index, c.options.TrailingEntries, c.options.SnapshotBytes/4))
-}
-
-// handleSnapshotRequest replaces the log with a snapshot of the leader.
-func (c *Core) handleSnapshotRequest(from string, request *SnapshotRequest) {
-	if c.stalled {
-		return
-	}
-	s := request.GetSnapshot()
-	if s.GetIndex() > c.commit {
-		c.restore(s)
-	}
-	c.replyWhenDurable(from, &Message{Body: &Message_SnapshotReply{
-		SnapshotReply: &SnapshotReply{Match: c.commit, Round: request.Round},
-	}})
+	compact := c.log.compactIndex(e.Index, c.options.TrailingEntries, c.options.SnapshotBytes/4)
+	c.log.compactTo(min(compact, c.lowestTransfer()))
 }
 
 func (c *Core) restore(s *Snapshot) {
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -22,7 +22,8 @@
 	round       uint64 // last heartbeat round that the member acknowledged
 	lastContact time.Time
 	paused      bool      // sendProbe: a request is outstanding
-	snapshotDue time.Time // sendSnapshot: when the snapshot is sent again
+	snapshotDue time.Time // sendSnapshot: when the snapshot, or a piece, is sent again
+	transfer    *snapshotTransfer
 }
 
 // acknowledge records that the member's log matches up to index. A member in
@@ -34,6 +35,7 @@
 	if p.mode == sendProbe || (p.mode == sendSnapshot && p.match+1 >= firstIndex) {
 		p.mode = sendStream
 		p.next = p.match + 1
+		p.transfer = nil
 	}
 }
 
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -167,19 +167,6 @@
 	}}})
 }
 
-// snapshotRetryTimeouts is the number of election timeouts after which an
-// unacknowledged snapshot is sent again.
-const snapshotRetryTimeouts = 3
-
-func (c *Core) sendSnapshotTo(id string, p *progress) {
-	p.mode = sendSnapshot
-	p.next = c.snapshot.Index + 1
-	p.snapshotDue = c.now.Add(snapshotRetryTimeouts * c.options.ElectionTimeout)
-	c.send(id, &Message{Body: &Message_SnapshotRequest{
-		SnapshotRequest: &SnapshotRequest{Snapshot: c.snapshot, Round: c.round},
-	}})
-}
-
 // handleAppendRequest makes the log match the leader's.
 func (c *Core) handleAppendRequest(from string, request *AppendRequest) {
 	if c.stalled {
@@ -262,16 +249,6 @@
 	c.advanceAfterAck(from)
 }
 
-func (c *Core) handleSnapshotReply(from string, reply *SnapshotReply) {
-	p := c.progress[from]
-	if p == nil {
-		return
-	}
-	c.recordContact(p, reply.Round)
-	p.acknowledge(reply.Match, c.log.firstIndex())
-	c.advanceAfterAck(from)
-}
-
 func (c *Core) recordContact(p *progress, round uint64) {
 	p.lastContact = c.now
 	p.round = max(p.round, round)
