--- a/cluster/cancelled.go
+++ b/cluster/cancelled.go
@@ -6,7 +6,9 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
+	"hawthornshore.example/consensus"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -91,3 +93,17 @@
 		}
 	}
 }
+
+// noteLogged keeps the cancelled jobs in the entries on disk for takeCancelled. They may
+// be applied only after the next election, and repeats arrive before; a cancellation that
+// was not acknowledged does no harm.
+func (s *stateStore) noteLogged(entries []*consensus.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, entry := range entries {
+		var command wire.LogCommand
+		if entry.Kind == consensus.EntryKind_ENTRY_KIND_COMMAND && proto.Unmarshal(entry.Data, &command) == nil {
+			s.noteCancelled(command.GetJobs())
+		}
+	}
+}
--- a/cluster/cancelled_test.go
+++ b/cluster/cancelled_test.go
@@ -37,6 +37,18 @@
 		Expect(cancelled()).To(BeTrue())
 	})
 
+	// Guards against a coordinator that starts the job because it restarts and has the
+	// cancellation on disk, but applies it after the next election only.
+	It("is remembered by a coordinator that has it on disk", func() {
+		command, err := proto.Marshal(&wire.LogCommand{Jobs: []*wire.JobCommand{{
+			Body: &wire.JobCommand_Cancel{Cancel: &wire.JobCancel{JobId: id, NotStored: true}},
+		}}})
+		Expect(err).NotTo(HaveOccurred())
+		c.logNode.store.noteLogged([]*consensus.Entry{{Kind: consensus.EntryKind_ENTRY_KIND_EMPTY}, {Data: command}})
+		c.loop.stepCancelled(time.Second)
+		Expect(cancelled()).To(BeTrue())
+	})
+
 	// Guards against a coordinator that starts the job because the log reaches it after
 	// the cancellation was acknowledged.
 	It("is remembered by a coordinator that another one tells of it", func() {
--- a/cluster/lognode.go
+++ b/cluster/lognode.go
@@ -93,6 +93,7 @@
 	}
 	options.Logger.Info().Str("event", "data_folder_opened").Str("verdict", disk.OpenResult().String()).
 		Str("disk_incarnation", disk.Incarnation()).Send()
+	l.store.noteLogged(persisted.Entries)
 	n, err := node.Start(ctx, node.Options{
 		Name:             options.Name,
 		Incarnation:      disk.Incarnation(),
