--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -96,6 +96,7 @@
 		coordinator: c, store: newStateStore(options.JobRetention), progress: newLogProgress(), applied: make(chan struct{}, 1),
 	}
 	c.evacuations = newEvacuations(options.Evacuation, c.logNode.store, boottimeNow())
+	c.logNode.catchUp.read = c.logNode.readBarrier
 	c.loop = newPlacementLoop(c)
 	c.cache = newTargetCache(options.DataFolder, options.Logger)
 	c.recorder = newRecorder(c)
--- a/cluster/lognode.go
+++ b/cluster/lognode.go
@@ -40,6 +40,7 @@
 	progress    *logProgress
 	node        atomic.Pointer[node.Node] // nil until the data folder is open
 	applied     chan struct{}             // signals applied entries
+	catchUp     catchUp
 }
 
 // Send implements node.Transport.
@@ -95,6 +96,7 @@
 	if err := l.coordinator.evacuations.diskOpened(&persisted); err != nil {
 		l.warn().Str("event", "evacuations_not_recovered").Err(err).Send()
 	}
+	l.store.noteLogged(persisted.Entries)
 	n, err := node.Start(ctx, node.Options{
 		Name:             options.Name,
 		Incarnation:      disk.Incarnation(),
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -27,6 +27,7 @@
 	evacuations evacuation.Set
 	// evacuationsChanged is set when the core may lack the newest set.
 	evacuationsChanged atomic.Bool
+	cancelled          []string // IDs of cancelled jobs that are not stored, since takeCancelled
 }
 
 // newStateStore returns an empty state with a retention time for ended jobs.
@@ -137,6 +138,7 @@
 	if len(command.GetJobs()) > 0 {
 		verdicts, changed := s.jobs.Apply(command.GetClockUnixMs(), command.GetJobs())
 		answer.Verdicts = verdicts
+		s.noteCancelled(command.GetJobs())
 		for _, j := range changed {
 			s.changed[j.ID] = true
 		}
@@ -172,5 +174,8 @@
 	s.allChanged = true
 	s.evacuations.Restore(state.GetEvacuations())
 	s.evacuationsChanged.Store(true)
+	for _, record := range state.GetCancelled() {
+		s.cancelled = append(s.cancelled, record.GetJobId())
+	}
 	return errors.Annotate(s.jobs.Restore(&state), "restore jobs")
 }
