Apply committed entries of the coordinators' log before the commit index is durable

Cause: a stored job was accepted, and adopted by its home, only after a second sync that makes the commit index durable; each coordinator converted the changes of the jobs of all homes, counted open jobs by walking all jobs, and confirmed its home with a read of the log for each change. Ruled out: the lease of the home (1.5 s, renewed every 300 ms) does not delay first starts. Change: consensus has the option EagerApply, which the coordinators use; a leader announces a new commit index at once. Documents are published once their commit is durable, as before, so that a restart takes none back. Changes of jobs that mean nothing to the core are skipped, open jobs are counted by home, and a home is confirmed at most once per confirmInterval.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -148,7 +148,7 @@
 	c.mu.Lock()
 	c.draining = true
 	c.mu.Unlock()
-	if c.logNode.store.openJobsByHome()[c.options.Placement.Home] > 0 {
+	if c.logNode.store.openJobs(c.options.Placement.Home) > 0 {
 		if err := c.moveHome(ctx, c.options.Placement.Home); err != nil {
 			c.options.Logger.Warn().Str("event", "home_not_moved").Str("home", c.options.Placement.Home).Err(err).Send()
 		}
--- a/cluster/lognode.go
+++ b/cluster/lognode.go
@@ -104,16 +104,18 @@
 		Core: consensus.Options{
 			ElectionTimeout:   electionTimeout,
 			HeartbeatInterval: logHeartbeatInterval,
+			EagerApply:        true,
 		},
 		Storage:      disk,
 		Transport:    l,
 		StateMachine: l.store,
 		OnApplied: func(applied node.Applied) {
 			l.progress.advance(applied.Index)
-			select {
-			case l.applied <- struct{}{}:
-			default:
-			}
+			l.signalApplied()
+		},
+		OnCommitSynced: func(index uint64) {
+			l.store.commitSynced(index)
+			l.signalApplied()
 		},
 		OnStatus: func(status node.Status) {
 			options.Logger.Info().Str("event", "voter_status").Str("role", status.Role.String()).
@@ -129,6 +131,14 @@
 	return disk, nil
 }
 
+// signalApplied wakes publishLoop.
+func (l *logNode) signalApplied() {
+	select {
+	case l.applied <- struct{}{}:
+	default:
+	}
+}
+
 // warn begins a log line about the node.
 func (l *logNode) warn() *zerolog.Event {
 	return l.coordinator.options.Logger.Warn().Str("step", "voter")
@@ -157,7 +167,7 @@
 	for {
 		select {
 		case <-l.applied:
-			l.coordinator.applyDocument(l.store.currentDocument())
+			l.coordinator.applyDocument(l.store.syncedDocument())
 			l.coordinator.loop.push(placement.Tick{}) // wakes the loop, which passes changes of stored jobs to the core
 		case <-ctx.Done():
 			return ctx.Err()
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -119,13 +119,14 @@
 // stepStoredJobs steps the core with the changes of stored jobs in the log.
 func (l *placementLoop) stepStoredJobs(now time.Duration) {
 	c := l.coordinator
-	for _, change := range c.logNode.store.takeChanged(l.core.StoredJobs) {
-		l.core.Step(now, change)
-		if change.Home == c.options.Placement.Home {
-			select {
-			case c.confirmNow <- struct{}{}:
-			default:
-			}
+	changes := c.logNode.store.takeChanged(c.options.Placement.Home, l.core)
+	for i := range changes {
+		l.core.Step(now, changes[i])
+	}
+	if len(changes) > 0 && !l.core.HomeConfirmed(confirmInterval) {
+		select {
+		case c.confirmNow <- struct{}{}:
+		default:
 		}
 	}
 }
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -16,13 +16,24 @@
 // stateStore is the replicated state: the document with the highest version, and
 // the stored jobs. It implements node.StateMachine.
 type stateStore struct {
-	mu         sync.RWMutex
-	document   Document
+	mu       sync.RWMutex
+	document Document
+	// synced is the newest document that this coordinator still has after a restart
+	// without a leader. Newer ones wait in unsynced, so that no effect of a document
+	// is seen before and not after a restart.
+	synced     Document
+	unsynced   []indexedDocument
 	jobs       *jobtable.Table
 	changed    map[string]bool // IDs of the jobs changed since takeChanged
 	allChanged bool            // any job may have changed
 }
 
+// indexedDocument is a document with the index of its log entry.
+type indexedDocument struct {
+	index uint64
+	Document
+}
+
 // newStateStore returns an empty state with a retention time for ended jobs.
 func newStateStore(retention time.Duration) *stateStore {
 	return &stateStore{jobs: jobtable.New(retention), changed: map[string]bool{}}
@@ -35,6 +46,25 @@
 	return s.document
 }
 
+// syncedDocument returns the newest document that a restart does not take back; its
+// body must not be modified.
+func (s *stateStore) syncedDocument() Document {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.synced
+}
+
+// commitSynced records that this coordinator starts with the entries up to index
+// again after a restart.
+func (s *stateStore) commitSynced(index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.unsynced) > 0 && s.unsynced[0].index <= index {
+		s.synced = s.unsynced[0].Document
+		s.unsynced = s.unsynced[1:]
+	}
+}
+
 // jobState returns the state of a stored job.
 func (s *stateStore) jobState(id string) wire.StoredState {
 	s.mu.RLock()
@@ -52,9 +82,24 @@
 	return s.jobs.Homes()
 }
 
-// takeChanged returns the stored jobs that have changed since the last call. After
-// a restore, those of coreJobs that the snapshot lacks are returned as ended.
-func (s *stateStore) takeChanged(coreJobs func() []string) []placement.StoredJobChanged {
+// coreJobs tells which jobs the core has.
+type coreJobs interface {
+	StoredJobs() []string
+	HasJob(id string) bool
+}
+
+// openJobs returns the number of stored jobs of a home that have not ended.
+func (s *stateStore) openJobs(home string) int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.jobs.OpenJobs(home)
+}
+
+// takeChanged returns the stored jobs of a home, and others that the core has, that
+// have changed since the last call. Each coordinator applies the changes of all
+// homes, so those that mean nothing to the core are left out. After a restore, jobs
+// of the core that the snapshot lacks are returned as ended.
+func (s *stateStore) takeChanged(home string, core coreJobs) []placement.StoredJobChanged {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.allChanged {
@@ -62,7 +107,7 @@
 		for _, j := range s.jobs.Jobs() {
 			s.changed[j.ID] = true
 		}
-		for _, id := range coreJobs() {
+		for _, id := range core.StoredJobs() {
 			s.changed[id] = true
 		}
 	}
@@ -71,7 +116,10 @@
 	}
 	changes := make([]placement.StoredJobChanged, 0, len(s.changed))
 	for id := range s.changed {
-		changes = append(changes, describeChange(id, s.jobs.Job(id)))
+		j := s.jobs.Job(id)
+		if here := j != nil && !j.Ended() && j.Home == home; here || core.HasJob(id) {
+			changes = append(changes, describeChange(id, j))
+		}
 	}
 	clear(s.changed)
 	return changes
@@ -111,6 +159,7 @@
 	defer s.mu.Unlock()
 	if d := command.GetDocument(); d.GetVersion() > s.document.Version {
 		s.document = Document{Version: d.GetVersion(), Body: d.GetBody()}
+		s.unsynced = append(s.unsynced, indexedDocument{index: entry.Index, Document: s.document})
 	}
 	answer := &wire.LogAnswer{DocumentVersion: s.document.Version}
 	if len(command.GetJobs()) > 0 {
@@ -143,6 +192,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.document = Document{Version: state.GetDocument().GetVersion(), Body: state.GetDocument().GetBody()}
+	s.synced, s.unsynced = s.document, nil // a snapshot is durable before it is applied
 	s.allChanged = true
 	return errors.Annotate(s.jobs.Restore(&state), "restore jobs")
 }
--- a/cluster/state_test.go
+++ b/cluster/state_test.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +14,12 @@
 	"hawthornshore.example/wire"
 )
 
+// fakeCore has the jobs whose IDs are in it.
+type fakeCore map[string]bool
+
+func (f fakeCore) StoredJobs() []string  { return slices.Collect(maps.Keys(f)) }
+func (f fakeCore) HasJob(id string) bool { return f[id] }
+
 var _ = Describe("stateStore", func() {
 	apply := func(s *stateStore, command *wire.LogCommand) *wire.LogAnswer {
 		data, err := proto.Marshal(command)
@@ -31,7 +39,7 @@
 			Accept: &wire.JobAccept{Job: jobToWire(1, job), Home: home},
 		}}}})
 	}
-	noJobs := func() []string { return nil }
+	noJobs := fakeCore{}
 
 	// Guards against an older document, or another one with the same version, that
 	// replaces the applied one.
@@ -52,7 +60,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(restored.Restore(data)).To(Succeed())
 		Expect(restored.currentDocument()).To(Equal(s.currentDocument()))
-		Expect(restored.takeChanged(noJobs)).To(Equal(s.takeChanged(noJobs)))
+		Expect(restored.takeChanged("c1/1", noJobs)).To(Equal(s.takeChanged("c1/1", noJobs)))
 		Expect(restored.Restore([]byte("x"))).NotTo(Succeed())
 	})
 
@@ -61,19 +69,54 @@
 	It("returns each change once, and after a restore the jobs that are gone", func() {
 		s, empty := newStateStore(time.Minute), newStateStore(time.Minute)
 		accept(s, "00000000000000aa", "c1/1")
-		changes := s.takeChanged(noJobs)
+		changes := s.takeChanged("c1/1", noJobs)
 		Expect(changes).To(HaveLen(1))
 		Expect(changes[0].Home).To(Equal("c1/1"))
 		Expect(changes[0].Job.Stored).To(BeTrue())
 		Expect(changes[0].Tasks).To(Equal([][]placement.TaskProgress{{{}, {}}}))
-		Expect(s.takeChanged(noJobs)).To(BeEmpty())
+		Expect(s.takeChanged("c1/1", noJobs)).To(BeEmpty())
 		data, err := empty.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Restore(data)).To(Succeed())
-		Expect(s.takeChanged(func() []string { return []string{"00000000000000aa"} })).To(ConsistOf(
+		Expect(s.takeChanged("c1/1", fakeCore{"00000000000000aa": true})).To(ConsistOf(
 			placement.StoredJobChanged{Job: placement.Job{ID: "00000000000000aa"}, Ended: true}))
 	})
 
+	// Guards against work on each coordinator for the jobs of all homes.
+	It("leaves out jobs of other homes unless the core has them", func() {
+		s := newStateStore(time.Minute)
+		accept(s, "00000000000000aa", "c1/1")
+		accept(s, "00000000000000bb", "c2/1")
+		accept(s, "00000000000000cc", "c2/1")
+		changes := s.takeChanged("c1/1", fakeCore{"00000000000000cc": true})
+		Expect(changes).To(HaveLen(2))
+		for _, change := range changes {
+			Expect(change.Job.ID).NotTo(Equal("00000000000000bb"))
+		}
+	})
+
+	// Guards against a document whose effects are seen and then taken back by a
+	// restart, because its commit was not durable yet.
+	It("publishes a document only once its commit is durable", func() {
+		s := newStateStore(time.Minute)
+		index := uint64(0)
+		replaceAt := func(version uint64) {
+			index++
+			data, err := proto.Marshal(&wire.LogCommand{Document: &wire.DocumentState{Version: version}})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = s.Apply(&consensus.Entry{Index: index, Data: data})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		replaceAt(3)
+		replaceAt(5)
+		Expect(s.currentDocument().Version).To(Equal(uint64(5)))
+		Expect(s.syncedDocument().Version).To(BeZero())
+		s.commitSynced(1)
+		Expect(s.syncedDocument().Version).To(Equal(uint64(3)))
+		s.commitSynced(2)
+		Expect(s.syncedDocument().Version).To(Equal(uint64(5)))
+	})
+
 	// Guards against a job that is in the log but reported as unknown.
 	It("returns the state of a job", func() {
 		s := newStateStore(time.Minute)
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -133,7 +133,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if c.logNode.store.openJobsByHome()[c.options.Placement.Home] > 0 {
+		if c.logNode.store.openJobs(c.options.Placement.Home) > 0 {
 			c.confirmHome(ctx)
 		}
 	}
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -24,6 +24,7 @@
 	snapshot       *Snapshot // newest; nil before the first
 	commit         uint64
 	applied        uint64    // last index emitted in Apply or InstallSnapshot
+	commitSynced   uint64    // last index emitted in CommitSynced
 	pendingInstall *Snapshot // received and not yet emitted in InstallSnapshot
 	memberLog      []indexedMembers
 
--- a/consensus/events.go
+++ b/consensus/events.go
@@ -83,9 +83,15 @@
 }
 
 // Apply passes committed entries to the state machine, in order and once per
-// run of the core. The commit index that covers them is durable.
+// run of the core. The commit index that covers them is durable unless
+// Options.EagerApply is set.
 type Apply struct{ Entries []*Entry }
 
+// CommitSynced reports that the commit index is durable up to Index, and that
+// entries up to it have been passed on in Apply. It is emitted only with
+// Options.EagerApply.
+type CommitSynced struct{ Index uint64 }
+
 // InstallSnapshot replaces the state of the state machine.
 type InstallSnapshot struct{ Snapshot *Snapshot }
 
@@ -124,6 +130,7 @@
 func (SendMessage) isEffect()     {}
 func (Persist) isEffect()         {}
 func (Apply) isEffect()           {}
+func (CommitSynced) isEffect()    {}
 func (InstallSnapshot) isEffect() {}
 func (TakeSnapshot) isEffect()    {}
 func (Proposed) isEffect()        {}
--- a/consensus/node/applier.go
+++ b/consensus/node/applier.go
@@ -51,6 +51,10 @@
 	switch item := item.(type) {
 	case consensus.Apply:
 		return a.apply(item.Entries)
+	case consensus.CommitSynced:
+		if a.options.OnCommitSynced != nil {
+			a.options.OnCommitSynced(item.Index)
+		}
 	case consensus.InstallSnapshot:
 		return a.restore(item.Snapshot)
 	case consensus.TakeSnapshot:
--- a/consensus/node/loop.go
+++ b/consensus/node/loop.go
@@ -197,7 +197,7 @@
 		case consensus.Persist:
 			l.joiner.hasLog = true
 			l.persistQueue = append(l.persistQueue, e)
-		case consensus.Apply, consensus.InstallSnapshot, consensus.TakeSnapshot:
+		case consensus.Apply, consensus.CommitSynced, consensus.InstallSnapshot, consensus.TakeSnapshot:
 			l.applyQueue = append(l.applyQueue, e)
 		case consensus.Proposed:
 			l.queueProposalReply(e)
--- a/consensus/node/options.go
+++ b/consensus/node/options.go
@@ -62,6 +62,9 @@
 	Transport    Transport
 	StateMachine StateMachine
 
+	// OnCommitSynced is called by the applier when the commit index is durable up
+	// to an applied index. It is called only with Core.EagerApply.
+	OnCommitSynced func(index uint64)
 	// OnApplied is called by the applier after entries or a snapshot were
 	// applied. It must not block.
 	OnApplied func(Applied)
--- a/consensus/options.go
+++ b/consensus/options.go
@@ -32,6 +32,11 @@
 	// MaxUncommitted bounds the uncommitted entries of a leader; further
 	// proposals are refused with ErrOverloaded.
 	MaxUncommitted uint64
+	// EagerApply applies entries once they are committed and durable here, before
+	// the commit index is durable. A restarted instance may then lack, until it
+	// hears from a leader, entries that it had applied; CommitSynced reports up to
+	// which index it does not. Waiting for the commit index costs another sync.
+	EagerApply bool
 	// Seed seeds the randomization of election timeouts.
 	Seed uint64
 }
--- a/consensus/persist.go
+++ b/consensus/persist.go
@@ -168,20 +168,28 @@
 	}
 }
 
-// emitApply emits the committed entries that are not applied yet. The commit
-// index has to be durable first: a restarted instance then starts with every
-// entry that it ever applied, even without a leader.
+// emitApply emits the committed entries that are not applied yet. Without
+// EagerApply the commit index has to be durable first: a restarted instance then
+// starts with every entry that it ever applied, even without a leader.
 func (c *Core) emitApply() {
 	durable := min(c.commit, c.persist.stableCommit)
 	if s := c.pendingInstall; s != nil && durable >= s.Index {
 		c.emit(InstallSnapshot{Snapshot: s})
 		c.applied, c.pendingInstall = s.Index, nil
 	}
-	if c.pendingInstall == nil && c.applied < durable {
-		entries := c.log.slice(c.applied+1, durable, maxInt)
+	applicable := durable
+	if c.options.EagerApply {
+		applicable = max(durable, min(c.commit, c.persist.stable))
+	}
+	if c.pendingInstall == nil && c.applied < applicable {
+		entries := c.log.slice(c.applied+1, applicable, maxInt)
 		c.bytesSinceSnapshot += sizeOf(entries)
 		c.emit(Apply{Entries: entries})
-		c.applied = durable
+		c.applied = applicable
+	}
+	if c.options.EagerApply && c.pendingInstall == nil && c.commitSynced < durable {
+		c.commitSynced = durable
+		c.emit(CommitSynced{Index: durable})
 	}
 	c.requestSnapshot()
 }
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -20,6 +20,7 @@
 	match       uint64 // last index that is durable at the member
 	next        uint64 // next index to send
 	round       uint64 // last heartbeat round that the member acknowledged
+	commitSent  uint64 // commit index in the last request
 	lastContact time.Time
 	paused      bool      // sendProbe: a request is outstanding
 	snapshotDue time.Time // sendSnapshot: when the snapshot is sent again
--- a/consensus/replication.go
+++ b/consensus/replication.go
@@ -126,11 +126,17 @@
 			c.sendSnapshotTo(id, p)
 		}
 	}
-	if heartbeat && !sent {
+	if !sent && (heartbeat || c.announcesCommit(p)) {
 		c.sendHeartbeat(id, p)
 	}
 }
 
+// announcesCommit reports whether a member is sent the commit index without waiting
+// for the next entries.
+func (c *Core) announcesCommit(p *progress) bool {
+	return c.options.EagerApply && p.mode == sendStream && p.commitSent < min(c.commit, p.match)
+}
+
 // sendAppend sends the next entries, or the snapshot if they are compacted.
 func (c *Core) sendAppend(id string, p *progress) {
 	prevTerm, known := c.log.term(p.next - 1)
@@ -162,6 +168,9 @@
 }
 
 func (c *Core) sendAppendRequest(id string, prev, prevTerm uint64, entries []*Entry) {
+	if p := c.progress[id]; p != nil {
+		p.commitSent = c.commit
+	}
 	c.send(id, &Message{Body: &Message_AppendRequest{AppendRequest: &AppendRequest{
 		PrevIndex: prev, PrevTerm: prevTerm, Commit: c.commit, Round: c.round, Entries: entries,
 	}}})
--- a/jobtable/table.go
+++ b/jobtable/table.go
@@ -4,6 +4,7 @@
 package jobtable
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,13 +49,14 @@
 type Table struct {
 	retention time.Duration   // of ended jobs
 	jobs      map[string]*Job // by ID
+	homes     map[string]int  // number of unfinished jobs by home
 	ended     []*Job          // by time of end
 	clockMS   int64           // highest Unix time of a proposer
 }
 
 // New returns an empty table that removes ended jobs after the retention time.
 func New(retention time.Duration) *Table {
-	return &Table{retention: retention, jobs: map[string]*Job{}}
+	return &Table{retention: retention, jobs: map[string]*Job{}, homes: map[string]int{}}
 }
 
 // Job returns a job, or nil.
@@ -71,14 +73,16 @@
 }
 
 // Homes returns the number of unfinished jobs by home.
-func (t *Table) Homes() map[string]int {
-	homes := map[string]int{}
-	for _, j := range t.jobs {
-		if !j.Ended() {
-			homes[j.Home]++
-		}
+func (t *Table) Homes() map[string]int { return maps.Clone(t.homes) }
+
+// OpenJobs returns the number of unfinished jobs of a home.
+func (t *Table) OpenJobs(home string) int { return t.homes[home] }
+
+// countHome adds to the number of unfinished jobs of a home.
+func (t *Table) countHome(home string, change int) {
+	if t.homes[home] += change; t.homes[home] == 0 {
+		delete(t.homes, home)
 	}
-	return homes
 }
 
 // Apply applies the commands of a log entry. It returns their verdicts and the
@@ -142,6 +146,7 @@
 		j.remaining += int(step.GetCount())
 	}
 	t.jobs[id] = j
+	t.countHome(j.Home, 1)
 	return verdictTaken, []*Job{j}
 }
 
@@ -208,6 +213,8 @@
 		if j.Ended() || j.Home != c.GetFrom() {
 			continue
 		}
+		t.countHome(j.Home, -1)
+		t.countHome(c.GetTo(), 1)
 		j.Home = c.GetTo()
 		j.Epoch++
 		for _, tasks := range j.Tasks {
@@ -221,6 +228,7 @@
 }
 
 func (t *Table) finish(j *Job, state wire.StoredState) {
+	t.countHome(j.Home, -1)
 	j.State, j.EndedMS, j.Submission = state, t.clockMS, nil
 	t.ended = append(t.ended, j)
 }
@@ -280,7 +288,7 @@
 
 // Restore replaces the contents of the table by those of a state.
 func (t *Table) Restore(state *wire.CoordinatorState) error {
-	t.jobs, t.ended, t.clockMS = map[string]*Job{}, nil, state.GetClockUnixMs()
+	t.jobs, t.homes, t.ended, t.clockMS = map[string]*Job{}, map[string]int{}, nil, state.GetClockUnixMs()
 	for _, stored := range state.GetJobs() {
 		j := &Job{
 			ID: stored.GetJob().GetJobId(), Home: stored.GetHome(), Epoch: int(stored.GetEpoch()),
@@ -294,6 +302,7 @@
 			t.ended = append(t.ended, j)
 		} else {
 			j.Submission = stored.GetJob()
+			t.countHome(j.Home, 1)
 		}
 	}
 	slices.SortStableFunc(t.ended, func(a, b *Job) int { return int(a.EndedMS - b.EndedMS) })
--- a/placement/core.go
+++ b/placement/core.go
@@ -211,6 +211,15 @@
 	return ids
 }
 
+// HasJob reports whether a job is here.
+func (c *Core) HasJob(id string) bool { return c.jobs[id] != nil }
+
+// HomeConfirmed reports whether this coordinator has been confirmed as the home of
+// its stored jobs within a time.
+func (c *Core) HomeConfirmed(within time.Duration) bool {
+	return c.logConfirmed && c.now-c.logConfirmedAt < within
+}
+
 // WaitingJobs returns the number of jobs without a started task, by queue.
 func (c *Core) WaitingJobs() map[string]int64 {
 	waiting := map[string]int64{}
