Admit stored jobs by what the log and the home can take

Cause: nothing limited the stored jobs that were accepted, so that the queue of an overload outlasted it: with a frozen leader and a burst none was served in time any more, also after the load had fallen. While the log did not respond, each job waited 900 ms for an unknown outcome. Ruled out: processor time (0.21 of 0.64 cores) and the number of log entries. Change: cluster/admission decides without I/O by the age of the oldest proposal and by the backlog of the home against the rate of started work; refusals name a time to return that is spread by the job's ID.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"hawthornshore.example/cluster/admission"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -47,6 +48,9 @@
 	confirmNow chan struct{}
 	runCtx     context.Context // ends with Run
 
+	gateMu sync.Mutex
+	gate   *admission.Gate // of stored jobs
+
 	mu        sync.Mutex
 	document  Document
 	services  map[string]bool   // of the document; nil before the first one
@@ -77,6 +81,7 @@
 		directory: map[string]string{options.Name: options.DataCentre},
 		linked:    map[string]peerState{},
 
+		gate:       admission.NewGate(),
 		rejectedAt: map[string]time.Time{},
 		confirmNow: make(chan struct{}, 1),
 		runCtx:     context.Background(),
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -37,6 +37,7 @@
 	lastAvailability  time.Duration
 	lastStatus        time.Duration
 	lastWaitingJobs   time.Duration
+	lastBacklog       time.Duration
 	availabilityDirty bool
 	publisher         *availabilityPublisher
 	waitingJobsSent   bool // the last update had waiting jobs
@@ -46,6 +47,7 @@
 
 	mu       sync.Mutex // guards the fields below, shared with other goroutines
 	coreIdle bool
+	backlog  placement.StoredBacklog
 	waiters  map[chan struct{}]ownershipWait
 	calls    []func(now time.Duration)
 }
@@ -171,9 +173,19 @@
 	l.runCalls(ctx, now)
 	l.mu.Lock()
 	l.coreIdle = l.core.Idle()
+	if now-l.lastBacklog >= placement.TickInterval {
+		l.lastBacklog, l.backlog = now, l.core.StoredBacklog()
+	}
 	l.mu.Unlock()
 }
 
+// storedBacklog returns the backlog of stored jobs, as of the last tick.
+func (l *placementLoop) storedBacklog() placement.StoredBacklog {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.backlog
+}
+
 func (l *placementLoop) execute(ctx context.Context, effect placement.Effect) {
 	c := l.coordinator
 	switch e := effect.(type) {
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -68,3 +68,8 @@
 	g.runs.Set(float64(s.Runs))
 	g.freeMillis.Set(float64(s.FreeCPUMillis))
 }
+
+// storedRefusals counts the stored jobs that admission refused, by reason.
+func storedRefusals(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_stored_jobs_refused_total{reason=%q}`, reason))
+}
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"hawthornshore.example/cluster/admission"
 	"hawthornshore.example/consensus"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
@@ -41,6 +42,11 @@
 	if c.isDraining() {
 		return refusal("coordinator is leaving")
 	}
+	proposal, refused := c.admitJob(submission)
+	if refused != nil {
+		return refused
+	}
+	defer c.endProposal(proposal)
 	ctx, cancel := context.WithTimeout(ctx, logOperationTimeout)
 	defer cancel()
 	_, err := c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
@@ -55,6 +61,30 @@
 	return &wire.SubmissionAnswer{Outcome: wire.JobOutcome_JOB_OUTCOME_ABORTED, Reason: err.Error()}
 }
 
+// admitJob returns the number of the proposal of a job, or the refusal of the job.
+func (c *Coordinator) admitJob(submission *wire.Submission) (uint64, *wire.SubmissionAnswer) {
+	job := jobFromWire(submission)
+	backlog := c.loop.storedBacklog()
+	now := boottimeNow()
+	c.gateMu.Lock()
+	defer c.gateMu.Unlock()
+	verdict := c.gate.Decide(now, admission.Job{ID: job.ID, Priority: job.Priority, Slack: job.StartSlack()},
+		&admission.Backlog{Work: backlog.Work, Rate: backlog.Rate, Oldest: backlog.Oldest})
+	if verdict.Reason == "" {
+		return c.gate.Begin(now), nil
+	}
+	storedRefusals(verdict.Reason).Inc()
+	return 0, &wire.SubmissionAnswer{
+		Outcome: wire.JobOutcome_JOB_OUTCOME_NOT_RUN, Reason: verdict.Reason, RetryAfterMs: ms(verdict.RetryAfter),
+	}
+}
+
+func (c *Coordinator) endProposal(number uint64) {
+	c.gateMu.Lock()
+	defer c.gateMu.Unlock()
+	c.gate.End(number)
+}
+
 // refusal returns an answer after which the gateway tries another coordinator.
 func refusal(reason string) *wire.SubmissionAnswer {
 	return &wire.SubmissionAnswer{
--- a/placement/core.go
+++ b/placement/core.go
@@ -52,6 +52,7 @@
 	logConfirmed    bool          // the log has been read to its end
 	logConfirmedAt  time.Duration // a time before the last such read
 	storedSuspended bool          // the runs of stored jobs have been stopped since
+	storedStarts    startRate     // of the tasks of stored jobs
 
 	suspects         []*task                     // tasks with losses
 	lostTargets      []lostTarget                // that may have crashed, lost here
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -143,6 +143,9 @@
 	c.placements[t.ref] = t
 	j.inFlight++
 	j.started = true
+	if j.Stored {
+		c.storedStarts.add(c.now, step.cpuSeconds())
+	}
 	if best.target != nil {
 		t.target = best.target.ID
 		c.startRun(best.target, &run{
