Count stored jobs as waiting until a task has started

Cause: a job counted as started once a start was ordered, so that jobs whose targets never started a task were missing from the number of waiting jobs. Change: a stored job counts until a report or the log shows that a task of it has started. Result: the new spec expects 1 between the order and the start; before, the number was taken from the queue, which the order empties.

--- a/cluster/admission/admission.go
+++ b/cluster/admission/admission.go
@@ -74,7 +74,9 @@
 }
 
 // NewGate returns a gate without commands in flight.
-func NewGate() *Gate { return &Gate{inFlight: map[uint64]time.Duration{}, lastProbe: math.MinInt64 / 2} }
+func NewGate() *Gate {
+	return &Gate{inFlight: map[uint64]time.Duration{}, lastProbe: math.MinInt64 / 2}
+}
 
 // Decide returns whether a job is to be proposed to the log.
 func (g *Gate) Decide(now time.Duration, job Job, backlog *Backlog) Verdict {
--- a/placement/core.go
+++ b/placement/core.go
@@ -224,14 +224,27 @@
 // WaitingJobs returns the number of jobs without a started task, by queue.
 func (c *Core) WaitingJobs() map[string]int64 {
 	waiting := map[string]int64{}
-	for _, j := range c.queue {
-		if !j.started {
+	for _, j := range c.jobs {
+		if j.waitsForStart() {
 			waiting[j.Queue]++
 		}
 	}
 	return waiting
 }
 
+// waitsForStart reports whether no task of the job has started. An order to start a
+// task of a stored job may fail and leave the job waiting; one that is not stored
+// counts as started with the first order, since its caller waits for the answer.
+func (j *job) waitsForStart() bool {
+	switch {
+	case j.ending:
+		return false
+	case j.Stored:
+		return !j.begun
+	}
+	return j.queued && !j.started
+}
+
 // Idle reports whether the core has neither jobs nor targets.
 func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.targets) == 0 }
 
--- a/placement/home.go
+++ b/placement/home.go
@@ -23,6 +23,7 @@
 	remaining   int       // tasks that are not done
 	inFlight    int       // tasks that are starting or running
 	started     bool      // a task may have started
+	begun       bool      // a task has started
 	queued      bool
 	ending      bool    // no further starts; waits for the runs to end
 	successor   *Submit // a later submission of the ID, admitted after the end
@@ -294,6 +295,7 @@
 	j := t.job
 	if report.Kind == RunStarted {
 		t.state, t.target, t.token = running, report.Target, max(t.token, report.Token)
+		j.begun = true
 		return
 	}
 	if report.Kind != RunDone {
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -144,6 +144,7 @@
 		for index, t := range j.tasks[step] {
 			p := &e.Tasks[step][index]
 			t.runs, t.failures, t.notBefore = p.Floor, p.Failures, notBefore
+			j.begun = j.begun || p.Done || p.Failures > 0
 			if p.Done {
 				t.state = done
 				j.remaining--
@@ -177,6 +178,7 @@
 		return
 	}
 	t.failures = p.Failures
+	j.begun = j.begun || p.Done || p.Failures > 0
 	c.restoreLosses(t, p.Losses)
 	switch {
 	case p.Done:
--- a/placement/stored_test.go
+++ b/placement/stored_test.go
@@ -47,6 +47,15 @@
 		h.acquire("t")
 	})
 
+	// Guards against a job that is missing from the number of waiting jobs although
+	// none of its tasks has started: the target that it was placed on did not start it.
+	It("counts as waiting until a task has started", func() {
+		h.store()
+		Expect(h.core.WaitingJobs()).To(Equal(map[string]int64{"q": 1}))
+		h.confirmStarts()
+		Expect(h.core.WaitingJobs()).To(BeEmpty())
+	})
+
 	// Guards against an end that the target no longer lists and that is lost with
 	// this process, so that the task runs again.
 	It("has the end of its run recorded before it is acknowledged", func() {
