Refuse jobs at once while all coordinators are down

Cause: a gateway without any responding coordinator let each job wait for a quarter of its objective before the refusal, also seconds into an outage. Ruled out: refusing at once after any loss; a link that was reset is up again within 50 ms, and the wait serves those jobs. Change: after 250 ms without a coordinator jobs are refused at once. Result: the new spec would wait for its limit of an hour before.

--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -37,8 +37,11 @@
 	lostAt       map[string]time.Time // when the last link to a coordinator failed
 	pending      map[uint64]*pendingJob
 	lastRef      uint64
-	notReady     bool
-	rejecting    bool
+	// unservedSince is when no coordinator was found for a job; zero if the last
+	// look-up found one.
+	unservedSince time.Time
+	notReady      bool
+	rejecting     bool
 }
 
 // linkedCoordinator is the state of a coordinator with a link.
@@ -203,12 +206,18 @@
 // linkPollInterval is how often a request without a link checks for one.
 const linkPollInterval = 10 * time.Millisecond
 
-// awaitCoordinators returns submitOrder once it is not empty or the limit passes.
+// outageGrace is how long after the loss of all coordinators jobs wait for one. A link
+// that was reset is up again sooner; after that the coordinators are down, for longer
+// than most jobs can wait.
+const outageGrace = 250 * time.Millisecond
+
+// awaitCoordinators returns submitOrder once it is not empty, the limit passes, or the
+// outage of all coordinators has lasted for outageGrace.
 func (g *Gateway) awaitCoordinators(ctx context.Context, limit time.Duration) []string {
 	deadline := time.Now().Add(limit)
 	for {
 		names := g.submitOrder()
-		if len(names) > 0 || !time.Now().Before(deadline) {
+		if len(names) > 0 || !time.Now().Before(deadline) || g.outage() > outageGrace {
 			return names
 		}
 		select {
@@ -236,9 +245,30 @@
 			remote = append(remote, name)
 		}
 	}
+	g.recordOutage(len(local)+len(remote) == 0)
 	return append(sortByWeight(g.options.Name, local), sortByWeight(g.options.Name, remote)...)
 }
 
+// recordOutage records whether no coordinator responds. The caller holds the lock.
+func (g *Gateway) recordOutage(none bool) {
+	switch {
+	case !none:
+		g.unservedSince = time.Time{}
+	case g.unservedSince.IsZero():
+		g.unservedSince = time.Now()
+	}
+}
+
+// outage returns for how long no coordinator has responded.
+func (g *Gateway) outage() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.unservedSince.IsZero() {
+		return 0
+	}
+	return time.Since(g.unservedSince)
+}
+
 // markUnresponsive marks the coordinators that have not acknowledged a submission in
 // time, or have sent nothing for silenceTimeout. The caller holds the lock.
 func (g *Gateway) markUnresponsive() {
--- a/cluster/gateway_test.go
+++ b/cluster/gateway_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -51,6 +52,26 @@
 		Expect(g.submitOrder()).To(HaveExactElements("2"))
 	})
 
+	// Pattern: all coordinators lose power under load. Guards against jobs that wait for
+	// a share of their objective although nobody can serve them.
+	It("are refused at once while all coordinators are down, and wait after a short loss", func() {
+		clear(g.pending)
+		g.LinkDown("1", nil)
+		g.LinkDown("2", nil)
+		Expect(g.submitOrder()).To(BeEmpty())
+		g.unservedSince = time.Now().Add(-2 * outageGrace)
+		Expect(g.awaitCoordinators(context.Background(), time.Hour)).To(BeEmpty())
+		g.LinkUp(from("1"))
+		Expect(g.awaitCoordinators(context.Background(), time.Hour)).To(HaveExactElements("1"))
+		g.LinkDown("1", nil)
+		go func() {
+			defer GinkgoRecover()
+			time.Sleep(outageGrace / 10)
+			g.LinkUp(from("2"))
+		}()
+		Expect(g.awaitCoordinators(context.Background(), time.Hour)).To(HaveExactElements("2"))
+	})
+
 	// Guards against an earlier version, which acknowledges nothing, being left out
 	// during an upgrade.
 	It("still go to one that has never acknowledged a submission", func() {
