--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"hawthornshore.example/cluster/admission"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -52,6 +53,9 @@
 	// evacuationHeld triggers confirmEvacuationsLoop without waiting for its interval.
 	evacuationHeld chan struct{}
 
+	gateMu sync.Mutex
+	gate   *admission.Gate // of stored jobs
+
 	mu        sync.Mutex
 	document  Document
 	services  map[string]bool   // of the document; nil before the first one
@@ -82,6 +86,7 @@
 		directory: map[string]string{options.Name: options.DataCentre},
 		linked:    map[string]peerState{},
 
+		gate:       admission.NewGate(),
 		rejectedAt: map[string]time.Time{},
 		confirmNow: make(chan struct{}, 1),
 		runCtx:     context.Background(),
@@ -158,7 +163,7 @@
 	c.mu.Lock()
 	c.draining = true
 	c.mu.Unlock()
-	if c.logNode.store.openJobsByHome()[c.options.Placement.Home] > 0 {
+	if c.logNode.store.openJobs(c.options.Placement.Home) > 0 {
 		if err := c.moveHome(ctx, c.options.Placement.Home); err != nil {
 			c.options.Logger.Warn().Str("event", "home_not_moved").Str("home", c.options.Placement.Home).Err(err).Send()
 		}
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -37,6 +37,7 @@
 	lastAvailability  time.Duration
 	lastStatus        time.Duration
 	lastWaitingJobs   time.Duration
+	lastBacklog       time.Duration
 	availabilityDirty bool
 	publisher         *availabilityPublisher
 	waitingJobsSent   bool                         // the last update had waiting jobs
@@ -47,6 +48,7 @@
 
 	mu       sync.Mutex // guards the fields below, shared with other goroutines
 	coreIdle bool
+	backlog  placement.StoredBacklog
 	waiters  map[chan struct{}]ownershipWait
 	calls    []func(now time.Duration)
 }
@@ -123,13 +125,14 @@
 // stepStoredJobs steps the core with the changes of stored jobs in the log.
 func (l *placementLoop) stepStoredJobs(now time.Duration) {
 	c := l.coordinator
-	for _, change := range c.logNode.store.takeChanged(l.core.StoredJobs) {
-		l.core.Step(now, change)
-		if change.Home == c.options.Placement.Home {
-			select {
-			case c.confirmNow <- struct{}{}:
-			default:
-			}
+	changes := c.logNode.store.takeChanged(c.options.Placement.Home, l.core)
+	for i := range changes {
+		l.core.Step(now, changes[i])
+	}
+	if len(changes) > 0 && !l.core.HomeConfirmed(confirmInterval) {
+		select {
+		case c.confirmNow <- struct{}{}:
+		default:
 		}
 	}
 }
@@ -175,9 +178,19 @@
 	l.runCalls(ctx, now)
 	l.mu.Lock()
 	l.coreIdle = l.core.Idle()
+	if now-l.lastBacklog >= placement.TickInterval {
+		l.lastBacklog, l.backlog = now, l.core.StoredBacklog()
+	}
 	l.mu.Unlock()
 }
 
+// storedBacklog returns the backlog of stored jobs, as of the last tick.
+func (l *placementLoop) storedBacklog() placement.StoredBacklog {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.backlog
+}
+
 func (l *placementLoop) execute(ctx context.Context, effect placement.Effect) {
 	c := l.coordinator
 	switch e := effect.(type) {
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -76,3 +76,8 @@
 func evacuationOrderCounter(outcome evacuationOutcome) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_evacuation_orders_total{outcome=%q}`, string(outcome)))
 }
+
+// storedRefusals counts the stored jobs that admission refused, by reason.
+func storedRefusals(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_stored_jobs_refused_total{reason=%q}`, reason))
+}
--- a/placement/core.go
+++ b/placement/core.go
@@ -53,6 +53,7 @@
 	logConfirmed    bool          // the log has been read to its end
 	logConfirmedAt  time.Duration // a time before the last such read
 	storedSuspended bool          // the runs of stored jobs have been stopped since
+	storedStarts    startRate     // of the tasks of stored jobs
 
 	suspects         []*task                     // tasks with losses
 	lostTargets      []lostTarget                // that may have crashed, lost here
@@ -217,17 +218,39 @@
 	return ids
 }
 
+// HasJob reports whether a job is here.
+func (c *Core) HasJob(id string) bool { return c.jobs[id] != nil }
+
+// HomeConfirmed reports whether this coordinator has been confirmed as the home of
+// its stored jobs within a time.
+func (c *Core) HomeConfirmed(within time.Duration) bool {
+	return c.logConfirmed && c.now-c.logConfirmedAt < within
+}
+
 // WaitingJobs returns the number of jobs without a started task, by queue.
 func (c *Core) WaitingJobs() map[string]int64 {
 	waiting := map[string]int64{}
-	for _, j := range c.queue {
-		if !j.started {
+	for _, j := range c.jobs {
+		if j.waitsForStart() {
 			waiting[j.Queue]++
 		}
 	}
 	return waiting
 }
 
+// waitsForStart reports whether no task of the job has started. An order to start a
+// task of a stored job may fail and leave the job waiting; one that is not stored
+// counts as started with the first order, since its caller waits for the answer.
+func (j *job) waitsForStart() bool {
+	switch {
+	case j.ending:
+		return false
+	case j.Stored:
+		return !j.begun
+	}
+	return j.queued && !j.started
+}
+
 // Idle reports whether the core has neither jobs nor targets.
 func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.targets) == 0 }
 
