Test processes with crowds of untrusted clients

Cause: requests without an end hold memory and descriptors without a bound (docs/hard-load.md, part 5). No test showed it.

Change: package integration/crowds starts the program, built as the deploy file builds it, with memory-mb 96 and max-fds 500, and lets 400 clients send one or two kinds of unfinished requests to a gateway or to the control address of a coordinator. Each client connects up to three times. Checked are: the process lives, VmHWM is at most 0.75 of the memory (73,728 kB; the rest is for what the kernel holds), at most 300 sockets are open, and an ordinary request is answered beside the clients and after them. Another spec stops a process beside such clients, and one sends a body and a head of exactly the limit. scripts/test.sh runs the package alone, after all others. The stand-in's settings get memory-mb and max-fds.

The number of clients and the bounds are fixed with this commit.

--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -53,6 +53,8 @@
 	Gateways     int
 	Coordinators int
 	Targets      int
+	MemoryMB     int // of each machine, 0: the stand-in's default
+	MaxFDs       int // of each machine, 0: not in the settings
 }
 
 // Start starts all processes and targets.
@@ -73,7 +75,7 @@
 	}
 	for i := range options.Coordinators + options.Gateways {
 		core := i < options.Coordinators
-		machine := standin.Machine{IP: address(options.Network, 10+i), DataCentre: fmt.Sprintf("dc%d", i%2), Core: core}
+		machine := standin.Machine{IP: address(options.Network, 10+i), DataCentre: fmt.Sprintf("dc%d", i%2), Core: core, MemoryMB: options.MemoryMB, MaxFDs: options.MaxFDs}
 		boot, err := standin.WriteSettings(options.Folder, machine, seeds, ports, true)
 		if err != nil {
 			return nil, errors.Annotate(err, "write settings")
--- a/integration/deployment/process.go
+++ b/integration/deployment/process.go
@@ -66,3 +66,6 @@
 
 // Running reports whether the process has not exited.
 func (p *Process) Running() bool { return p.currentProcess().Running() }
+
+// PID returns the ID of the running process.
+func (p *Process) PID() int { return p.currentProcess().PID() }
--- a/integration/process/process.go
+++ b/integration/process/process.go
@@ -40,6 +40,9 @@
 	return p, nil
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Signal sends a signal. It does nothing if the process has exited.
 func (p *Process) Signal(signal syscall.Signal) error {
 	err := p.command.Process.Signal(signal)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector. Specs listed in KNOWN-RED.txt are
+# Runs all tests with the race detector, and then the tests with crowds of clients
+# alone. Specs listed in KNOWN-RED.txt are
 # skipped and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,7 +11,10 @@
   flags+=("-ginkgo.skip=$spec")
 done < <(sed -n 's/^test: //p' KNOWN-RED.txt)
 
-if [ ${#flags[@]} -eq 0 ]; then
-  exec go test -race -count=1 -timeout 20m work
+arguments=()
+if [ ${#flags[@]} -gt 0 ]; then
+  arguments=(-args "${flags[@]}")
 fi
-exec go test -race -count=1 -timeout 20m work -args "${flags[@]}"
+go test -race -count=1 -timeout 20m work "${arguments[@]}"
+# The processes of this package need the machine for themselves: it checks their memory.
+HAWTHORN_CROWDS=1 go test -count=1 -timeout 40m hawthornshore.example/integration/crowds "${arguments[@]}"
