Add the module ingress, which bounds what untrusted clients hold

Cause: net/http bounds a single connection, and its limits cannot change while it serves.

Ruled out: read deadlines for each phase (a timer for each request, and no choice of whom to close), limits by client address (callers share addresses), reserving the announced length (a client that sends nothing would fill the budget).

Change: Rule decides without I/O who is admitted and who is closed: a budget of bytes that is counted before they are read, a reserve for small requests, slow and large requests closed first, limits on connections, and times for each phase. Pool applies it to listeners and handlers with one goroutine. Listen sets small buffers in the kernel. Gateway and Coordinator return the limits of the document in force.

The module is not used yet.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -50,6 +50,7 @@
 	mu        sync.Mutex
 	document  Document
 	services  map[string]bool   // of the document; nil before the first one
+	limits    Limits            // of the document
 	directory map[string]string // data centre by coordinator; empty if unknown
 	linked    map[string]peerState
 	// rejectedAt is when a heartbeat of a target was last rejected.
@@ -215,6 +216,13 @@
 	return c.logNode.readDocument(ctx, false)
 }
 
+// Limits returns the limits of the document in force.
+func (c *Coordinator) Limits() Limits {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits
+}
+
 // applyDocument applies a newer document and pushes it to the gateways of this
 // data centre. The others receive it after their next heartbeat.
 func (c *Coordinator) applyDocument(document Document) {
@@ -231,7 +239,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.document, c.services = document, deployment.Services
+	c.document, c.services, c.limits = document, deployment.Services, deployment.Limits
 	var localGateways []string
 	for name, state := range c.linked {
 		if !state.coordinator && state.dataCentre == c.options.DataCentre {
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -149,6 +149,14 @@
 	return g.deployment
 }
 
+// Limits returns the limits of the document in force.
+func (g *Gateway) Limits() Limits {
+	if deployment := g.Deployment(); deployment != nil {
+		return deployment.Limits
+	}
+	return Limits{}
+}
+
 // WaitingJobs returns the number of jobs of a queue without a started task.
 func (g *Gateway) WaitingJobs(queue string) int64 {
 	g.mu.Lock()
--- /dev/null
+++ b/ingress/pool_test.go
@@ -0,0 +1,168 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+)
+
+// serve starts a server that answers with the size of the body, or 503.
+func serve(limits *atomic.Pointer[Limits], budget Budget, connections int) (*Pool, string) {
+	GinkgoHelper()
+	pool := NewPool(Options{Budget: budget, Limits: func() Limits { return *limits.Load() }, Logger: zerolog.Nop()})
+	inner, err := Listen(context.Background(), "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprint(w, len(data))
+	})}
+	pool.Attach(server)
+	listener := pool.Listener("test", connections, inner, false)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = pool.Run(ctx) }()
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(func() {
+		cancel()
+		_ = server.Close()
+		<-done
+	})
+	return pool, inner.Addr().String()
+}
+
+func current(limits Limits) *atomic.Pointer[Limits] {
+	var p atomic.Pointer[Limits]
+	p.Store(&limits)
+	return &p
+}
+
+func dial(address string) net.Conn {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	Expect(c.SetDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+	return c
+}
+
+func status(c net.Conn, request []byte) int {
+	GinkgoHelper()
+	_, err := c.Write(request)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode
+}
+
+// requestWithHead returns a request whose head has the given size.
+func requestWithHead(size int) []byte {
+	const start, end = "GET / HTTP/1.1\r\nHost: a\r\nX: ", "\r\n\r\n"
+	return []byte(start + strings.Repeat("x", size-len(start)-len(end)) + end)
+}
+
+var _ = Describe("a pool", func() {
+	budget := Budget{Bytes: 1 << 20, Reserve: 256 << 10}
+
+	// Guards against a limit on heads that is off by one, or that only the first
+	// request of a connection is subject to.
+	It("serves a head of the limit and answers 431 beyond it", func() {
+		pool, address := serve(current(testLimits), budget, 10)
+		c := dial(address)
+		for range 2 {
+			Expect(status(c, requestWithHead(16384))).To(Equal(http.StatusOK))
+		}
+		Expect(status(dial(address), requestWithHead(16385))).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		var text bytes.Buffer
+		pool.WritePrometheus(&text)
+		Expect(text.String()).To(ContainSubstring(`hawthorn_clients_closed_total{reason="head_limit"} 1`))
+	})
+
+	// Guards against limits that are in force only after a restart.
+	It("applies a changed limit to open connections", func() {
+		limits := current(testLimits)
+		_, address := serve(limits, budget, 1000)
+		c := dial(address)
+		Expect(status(c, requestWithHead(10000))).To(Equal(http.StatusOK))
+		limits.Store(&Limits{HeadBytes: 9000, HeadTimeout: time.Second, IdleTimeout: 15 * time.Second})
+		Eventually(func() int { return status(dial(address), requestWithHead(10000)) }).WithTimeout(10 * time.Second).
+			Should(Equal(http.StatusRequestHeaderFieldsTooLarge))
+	})
+
+	// Guards against unfinished requests that keep their memory, and ordinary ones that
+	// are refused beside them.
+	It("serves small and, later, large requests beside unfinished ones", func() {
+		pool, address := serve(current(testLimits), budget, 10)
+		body := bytes.Repeat([]byte("x"), 250<<10)
+		head := []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 256000\r\n\r\n")
+		held := func() int64 {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			return pool.rule.Held()
+		}
+		for i := range 3 {
+			_, err := dial(address).Write(append(head[:len(head):len(head)], body[:250<<10-1]...))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(held).WithTimeout(10 * time.Second).Should(BeNumerically(">", (i+1)*250<<10))
+		}
+		Expect(held()).To(BeNumerically("<=", 768<<10))
+		Expect(status(dial(address), requestWithHead(500))).To(Equal(http.StatusOK))
+		Eventually(func() int { return status(dial(address), append(head[:len(head):len(head)], body...)) }).
+			WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+	})
+
+	// Guards against more connections than there are descriptors.
+	It("keeps to the number of connections and admits new ones", func() {
+		pool, address := serve(current(testLimits), budget, 4)
+		for range 12 {
+			dial(address)
+		}
+		Eventually(func() (code int) {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				return 0
+			}
+			defer c.Close()
+			if _, err := c.Write(requestWithHead(500)); err != nil {
+				return 0
+			}
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return 0
+			}
+			defer response.Body.Close()
+			return response.StatusCode
+		}).WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		Expect(len(pool.conns)).To(BeNumerically("<=", 4))
+	})
+
+	// Guards against blank lines that are read without end.
+	It("closes a connection with blank lines before a request", func() {
+		_, address := serve(current(testLimits), budget, 4)
+		c := dial(address)
+		_, _ = c.Write(bytes.Repeat([]byte("\r\n"), 20000)) // the server may close it first
+		_, err := io.Copy(io.Discard, c)
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection stays open")
+	})
+})
