Keep connections that have had a request lately

Cause: in a flood of new connections, the only ones older than a second were those of targets between two heartbeats, so that they were closed first.

Change: a connection between two requests may be closed in favour of a new one after 5 s, one without any request after 250 ms, an unfinished request after 1 s as before. The queue of connections to accept has 256 places, which is 8 MiB of full receive buffers.

--- a/ingress/listen.go
+++ b/ingress/listen.go
@@ -13,7 +13,7 @@
 	socketBuffer = 16 << 10
 	// acceptQueue is the number of connections that wait to be accepted. Each may have
 	// a full receive buffer.
-	acceptQueue = 512
+	acceptQueue = 256
 )
 
 // Listen listens on a TCP address. The connections have small buffers in the kernel.
--- a/ingress/pool_test.go
+++ b/ingress/pool_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -165,4 +166,37 @@
 		_, err := io.Copy(io.Discard, c)
 		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection stays open")
 	})
+
+	// Guards against encrypted connections whose requests are not counted, or that hide
+	// the client's certificate from the handler.
+	It("counts requests on encrypted connections", func() {
+		pool := NewPool(Options{Budget: budget, Limits: func() Limits { return testLimits }, Logger: zerolog.Nop()})
+		var held atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			pool.mu.Lock()
+			held.Store(pool.rule.Held())
+			pool.mu.Unlock()
+			if r.TLS == nil {
+				w.WriteHeader(http.StatusForbidden)
+			}
+		}))
+		pool.Attach(server.Config)
+		server.Listener = pool.Listener("test", 4, server.Listener, true)
+		server.StartTLS()
+		DeferCleanup(server.Close)
+		for range 2 {
+			response, err := server.Client().Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", 100<<10)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+			Expect(held.Load()).To(BeNumerically(">=", 100<<10))
+		}
+		server.Client().CloseIdleConnections()
+		Eventually(func() int64 {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			return pool.rule.Held() + int64(len(pool.conns))
+		}).WithTimeout(10 * time.Second).Should(BeZero())
+	})
 })
--- a/ingress/rule.go
+++ b/ingress/rule.go
@@ -55,9 +55,15 @@
 const (
 	// smallRequest is the most that an ordinary request holds; they have 0.5 to 4 KB.
 	smallRequest = 8 << 10
-	// fairAge is the time after which an unfinished request or a connection without a
-	// request may be closed in favour of another. An ordinary request arrives whole.
+	// fairAge is the time after which an unfinished request may be closed in favour of
+	// another. An ordinary request arrives whole.
 	fairAge = time.Second
+	// freshAge is the same for a connection without any request. An ordinary client
+	// connects in order to send one.
+	freshAge = 250 * time.Millisecond
+	// idleAge is the same for a connection between two requests. Targets send a
+	// heartbeat every 1.5 s.
+	idleAge = 5 * time.Second
 	// freshShare: connections without any request take at most this part of a group.
 	freshShare = 2
 	// fairRate in bytes per second is half that of a client with 1 Mbit/s. Under
@@ -151,6 +157,9 @@
 	unfinished             // a part of a request
 )
 
+// fairAges has the age from which a kind may be closed.
+var fairAges = [...]time.Duration{idle: idleAge, waiting: freshAge, unfinished: fairAge}
+
 func (m *Member) kind() int {
 	switch m.phase {
 	case Head, Body, Finishing:
@@ -172,7 +181,7 @@
 	for m := range g.members {
 		kind := m.kind()
 		age := now.Sub(m.since)
-		if kind&kinds == 0 || age < fairAge {
+		if kind&kinds == 0 || age < fairAges[kind] {
 			continue
 		}
 		score := age.Seconds() * float64(m.received+smallRequest)
