Bound what clients hold on hawthornd

Cause: an instance bounded the number of connections and the size of one head, but not the bytes of all requests nor the time of a body.

Change: hawthornd and package server use module ingress, below the encryption. New settings max_request_memory (64MB) and idle_timeout (2m); max_connections closes unfinished requests and idle connections instead of leaving new ones in the queue. A body that finds no room is answered 503 without an outcome, because an earlier copy of the job may have run. A drain closes unfinished requests before it waits for the others.

settings/daemon_test.go compares all limits and has the two new ones.

--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -14,8 +14,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 
+	"hawthornshore.example/ingress"
 	"hawthornshore.example/logging"
 	"hawthornshore.example/server"
 	"hawthornshore.example/settings"
@@ -73,7 +73,7 @@
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "log level")
 	}
-	httpListener, err := net.Listen("tcp", daemon.Instance.ListenHTTP)
+	httpListener, err := ingress.Listen(context.Background(), daemon.Instance.ListenHTTP)
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "listen for HTTP")
 	}
@@ -81,7 +81,10 @@
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "listen for links")
 	}
-	httpListener = netutil.LimitListener(httpListener, daemon.Limits.MaxConnections)
+	logger := logging.NewLogger(os.Stderr, level)
+	clients := newClients(&daemon.Limits, logger)
+	encrypted := daemon.TLS.Operator.Certificate != ""
+	httpListener = clients.Listener("http", daemon.Limits.MaxConnections, httpListener, encrypted)
 	httpListener, err = wrapHTTPTLS(httpListener, &daemon.TLS.Operator)
 	if err != nil {
 		return server.Options{}, err
@@ -99,7 +102,8 @@
 		Peers:        peers(daemon),
 		DataFolder:   daemon.Instance.DataFolder,
 		ClientTLS:    clientTLS,
-		Logger:       logging.NewLogger(os.Stderr, level),
+		Logger:       logger,
+		Clients:      clients,
 		DrainDelay:   daemon.Limits.DrainDelay,
 		DrainTimeout: daemon.Limits.DrainTimeout,
 
@@ -110,6 +114,22 @@
 	}, nil
 }
 
+// smallRequestShare is the part of the memory for requests that is reserved for small
+// ones.
+const smallRequestShare = 0.25
+
+func newClients(limits *settings.Limits, logger zerolog.Logger) *ingress.Pool {
+	return ingress.NewPool(ingress.Options{
+		Budget: ingress.Budget{Bytes: limits.RequestMemory, Reserve: int64(smallRequestShare * float64(limits.RequestMemory))},
+		Limits: func() ingress.Limits {
+			return ingress.Limits{
+				HeadBytes: int(limits.MaxHeaderBytes), HeadTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+			}
+		},
+		Logger: logger,
+	})
+}
+
 // wrapLinkTLS adds TLS to the links between instances if it is configured.
 func wrapLinkTLS(listener net.Listener, files *settings.KeyPair) (net.Listener, *tls.Config, error) {
 	if files.Certificate == "" {
--- a/server/decode.go
+++ b/server/decode.go
@@ -10,11 +10,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hawthornshore.example/claims"
+	"hawthornshore.example/ingress"
 	"hawthornshore.example/structs"
 )
 
 // DecodeJob decodes and validates the body of a submission. The error is a
-// *structs.RequestError. Validation depends on the body only, so that every
+// *structs.RequestError, or ingress.ErrOverloaded if the body was not read. Validation depends on the body only, so that every
 // instance rejects a body for the same reason.
 func DecodeJob(body io.Reader) (structs.Job, claims.Digest, error) {
 	var job structs.Job
@@ -39,6 +40,9 @@
 
 func readError(err error) error {
 	var tooLarge *http.MaxBytesError
+	if errors.Is(err, ingress.ErrOverloaded) {
+		return err
+	}
 	if errors.As(err, &tooLarge) {
 		return structs.BadRequest(structs.ReasonBodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
 	}
--- a/server/drain.go
+++ b/server/drain.go
@@ -43,6 +43,9 @@
 	} else if err := s.handOver(ctx); err != nil {
 		s.log.Error().Str("event", "drain_timeout").Str("step", "leave members").Err(err).Send()
 	}
+	if s.options.Clients != nil {
+		s.options.Clients.Drain()
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.log.Error().Str("event", "drain_timeout").Str("step", "close client connections").Err(err).Send()
 	}
--- a/server/http.go
+++ b/server/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hawthornshore.example/ingress"
 	"hawthornshore.example/structs"
 	"hawthornshore.example/targetapi"
 	"hawthornshore.example/wire"
@@ -23,7 +24,7 @@
 	mux.HandleFunc("POST "+targetapi.PathTargets, s.handleAnnouncement)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.ready)
-	mux.HandleFunc("GET /metrics", s.metrics.serve)
+	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	s.operatorRoutes(mux)
 	return mux
 }
@@ -63,6 +64,11 @@
 	defer s.requests.done()
 	start := time.Now()
 	job, digest, err := DecodeJob(http.MaxBytesReader(w, r.Body, structs.MaxBodyBytes))
+	if errors.Is(err, ingress.ErrOverloaded) {
+		rejectUnread(w, err)
+		return
+	}
+	ingress.Release(r)
 	if err != nil {
 		s.rejectRequest(w, job.ID, err)
 		return
@@ -111,6 +117,14 @@
 	writeAnswer(w, &answer)
 }
 
+// rejectUnread refuses a request whose body was not read. It has no outcome: an earlier
+// copy of the job may have run.
+func rejectUnread(w http.ResponseWriter, err error) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
+
 func writeAnswer(w http.ResponseWriter, answer *structs.Answer) {
 	writeJSON(w, answer.StatusCode(), answer)
 }
@@ -126,7 +140,12 @@
 func (s *Server) handleAnnouncement(w http.ResponseWriter, r *http.Request) {
 	var announcement structs.Announcement
 	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
-	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
+	err := json.NewDecoder(body).Decode(&announcement)
+	if errors.Is(err, ingress.ErrOverloaded) {
+		rejectUnread(w, err)
+		return
+	}
+	if err != nil {
 		writeJSON(w, http.StatusBadRequest, targetapi.AnnounceReply{Instance: s.options.Name, Message: "malformed announcement: " + err.Error()})
 		return
 	}
--- a/server/http_test.go
+++ b/server/http_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"hawthornshore.example/ingress"
 	"hawthornshore.example/operatorapi"
 	"hawthornshore.example/structs"
 )
@@ -103,6 +105,18 @@
 	})
 })
 
+var _ = Describe("A body without room", func() {
+	// Guards against an answer not-run for a job of which an earlier copy may have run.
+	It("is refused without an outcome", func() {
+		_, handler := newTestServer(nil)
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/v1/jobs", iotest.ErrReader(ingress.ErrOverloaded)))
+		Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(recorder.Header().Get("Retry-After")).To(Equal("1"))
+		Expect(recorder.Body.String()).NotTo(ContainSubstring(string(structs.OutcomeNotRun)))
+	})
+})
+
 var _ = Describe("Operator changes", func() {
 	// Guards against changes by clients without an operator certificate.
 	It("need a certificate if the options require one", func() {
--- a/server/metrics.go
+++ b/server/metrics.go
@@ -64,6 +64,14 @@
 	vm.WriteProcessMetrics(w)
 }
 
+// serveMetrics serves the metrics of the instance and of its clients.
+func (s *Server) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	s.metrics.serve(w, r)
+	if s.options.Clients != nil {
+		s.options.Clients.WritePrometheus(w)
+	}
+}
+
 // boundedLabel returns the label value, or "other" beyond maxSeries values.
 func (m *metrics) boundedLabel(label, value string) string {
 	m.mu.Lock()
--- a/server/operators.go
+++ b/server/operators.go
@@ -12,6 +12,7 @@
 	"hawthornshore.example/claims"
 	"hawthornshore.example/consensus/sysstate"
 	"hawthornshore.example/dispatch"
+	"hawthornshore.example/ingress"
 	"hawthornshore.example/operatorapi"
 	"hawthornshore.example/settings"
 	"hawthornshore.example/structs"
@@ -269,7 +270,7 @@
 func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
 	var request operatorapi.ApplyRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxApplyBytes)).Decode(&request); err != nil {
-		s.operatorError(w, http.StatusBadRequest, "decode request", err)
+		s.operatorError(w, decodeStatus(err), "decode request", err)
 		return
 	}
 	if err := checkApply(&request); err != nil {
@@ -290,6 +291,14 @@
 	s.answerApply(w, &request, answer)
 }
 
+// decodeStatus returns the status of the response to a body that cannot be read.
+func decodeStatus(err error) int {
+	if errors.Is(err, ingress.ErrOverloaded) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
 func checkApply(request *operatorapi.ApplyRequest) error {
 	if err := request.Check(); err != nil {
 		return err
@@ -319,7 +328,7 @@
 func (s *Server) startDrain(w http.ResponseWriter, r *http.Request) {
 	var request operatorapi.DrainRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxApplyBytes)).Decode(&request); err != nil {
-		s.operatorError(w, http.StatusBadRequest, "decode request", err)
+		s.operatorError(w, decodeStatus(err), "decode request", err)
 		return
 	}
 	s.log.Info().Str("event", "drain_requested").Str("operator", request.Operator).Send()
--- a/server/options.go
+++ b/server/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"hawthornshore.example/ingress"
 	"hawthornshore.example/structs"
 )
 
@@ -46,6 +47,9 @@
 	HeaderTimeout time.Duration
 	// MaxHeaderBytes bounds the headers of a request; 0 is the default of net/http.
 	MaxHeaderBytes int
+	// Clients bounds what clients of HTTPListener hold, which is a listener of it or
+	// has one below its encryption. It may be nil.
+	Clients *ingress.Pool
 	// RequireOperatorCertificate rejects operator changes by clients without a
 	// certificate of the listener's authority.
 	RequireOperatorCertificate bool
--- a/server/server.go
+++ b/server/server.go
@@ -85,6 +85,9 @@
 		ReadHeaderTimeout: options.HeaderTimeout,
 		MaxHeaderBytes:    options.MaxHeaderBytes,
 	}
+	if options.Clients != nil {
+		options.Clients.Attach(s.http)
+	}
 	return s
 }
 
@@ -157,6 +160,9 @@
 	group.Go(func() error { return s.memberLoop(serveCtx) })
 	group.Go(func() error { return s.mesh.Run(serveCtx) })
 	group.Go(func() error { return s.serveHTTP() })
+	if s.options.Clients != nil {
+		group.Go(func() error { return s.options.Clients.Run(serveCtx) })
+	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/settings/daemon_test.go
+++ b/settings/daemon_test.go
@@ -23,6 +23,7 @@
 		Expect(d.Instance.Voter()).To(BeFalse())
 		Expect(d.Limits).To(Equal(settings.Limits{
 			DrainDelay: 3 * time.Second, DrainTimeout: 30 * time.Second, MaxConnections: 8192, HeaderTimeout: 5 * time.Second, MaxHeaderBytes: 64_000,
+			IdleTimeout: 2 * time.Minute, RequestMemory: 64_000_000,
 		}))
 	})
 
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -9,6 +9,8 @@
 	MaxConnections int
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int64
+	IdleTimeout    time.Duration
+	RequestMemory  int64 // bytes
 }
 
 func (m *mergedSettings) limits() Limits {
@@ -19,5 +21,7 @@
 		MaxConnections: s.integer("max_connections"),
 		HeaderTimeout:  s.duration("header_timeout"),
 		MaxHeaderBytes: s.bytes("max_header_size"),
+		IdleTimeout:    s.duration("idle_timeout"),
+		RequestMemory:  s.bytes("max_request_memory"),
 	}
 }
--- a/settings/table.go
+++ b/settings/table.go
@@ -41,6 +41,8 @@
 			{Name: "max_connections", Kind: KindInteger, Default: "8192", Min: 16, Max: 1_000_000, Unit: "connections", Doc: "Most connections that are open on the HTTP address at once."},
 			{Name: "header_timeout", Kind: KindDuration, Default: "5s", Min: float64(100 * time.Millisecond), Max: float64(time.Minute), Doc: "Longest time that a client may take to send the headers of a request."},
 			{Name: "max_header_size", Kind: KindSize, Default: "64kB", Min: 4 * kilobyte, Max: megabyte, Doc: "Largest headers of a request."},
+			{Name: "idle_timeout", Kind: KindDuration, Default: "2m", Min: float64(time.Second), Max: float64(time.Hour), Doc: "Longest time that a connection stays open without a request, and that the body of a request or the reading of a response may stop."},
+			{Name: "max_request_memory", Kind: KindSize, Default: "64MB", Min: 8 * megabyte, Max: 100_000 * megabyte, Doc: "Largest size of all request bodies that are held at once; beyond it, slow and large requests are closed or refused."},
 		}},
 	},
 }
