Place tasks by the learned speed of targets

A third of a fleet may take 2.4 times as long as the rest. Fit and rack decided where a task starts, so long tasks ended too late beside free faster targets.

Owners learn the slowness of their targets from the progress and the ends of runs, relative to the run times of the queue, and send it as Room.speed_permille. The cost of a candidate contains the risk of a late end.

Ruled out: correcting run times by speeds drawn towards the mean (hides the difference), replacing an estimate after six runs off by a third (does so by chance), and judging a target by three runs (uniform fleets changed).

--- a/cluster/availability.go
+++ b/cluster/availability.go
@@ -52,10 +52,14 @@
 		target := current[i]
 		present[target.Target] = true
 		old, known := p.sent[target.Target]
+		if known && !speedMoved(old.SpeedPermille, target.SpeedPermille) {
+			target.SpeedPermille = old.SpeedPermille
+		}
 		p.sent[target.Target] = target
 		sameKind := known && old.Service == target.Service && slices.Equal(old.Labels, target.Labels) &&
 			old.Address == target.Address && old.BootUnixMS == target.BootUnixMS
-		if sameKind && old.Free == target.Free && old.Suspect == target.Suspect && old.Idle == target.Idle {
+		if sameKind && old.Free == target.Free && old.Suspect == target.Suspect && old.Idle == target.Idle &&
+			old.SpeedPermille == target.SpeedPermille {
 			continue
 		}
 		if sameKind {
@@ -76,3 +80,13 @@
 	update.Rooms = availabilityToWire(changed)
 	return update
 }
+
+// speedMoved reports whether a speed differs by a tenth or more from the one that was
+// sent, or has become known or unknown. Smaller changes are not worth a message.
+func speedMoved(sent, current int) bool {
+	if sent == 0 || current == 0 {
+		return sent != current
+	}
+	difference := current - sent
+	return 10*max(difference, -difference) >= sent
+}
--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -121,7 +121,7 @@
 		t := &targets[i]
 		message = append(message, &wire.Room{
 			Target: t.Target, Service: t.Service, Labels: t.Labels, Free: resourcesToWire(t.Free),
-			Suspect: t.Suspect, Idle: t.Idle, Address: t.Address, BornUnixMs: t.BootUnixMS,
+			Suspect: t.Suspect, Idle: t.Idle, Address: t.Address, BornUnixMs: t.BootUnixMS, SpeedPermille: int64(t.SpeedPermille),
 		})
 	}
 	return message
@@ -133,6 +133,7 @@
 		targets = append(targets, placement.AvailableTarget{
 			Target: r.GetTarget(), Service: r.GetService(), Labels: r.GetLabels(), Free: resourcesFromWire(r.GetFree()),
 			Suspect: r.GetSuspect(), Idle: r.GetIdle(), Address: r.GetAddress(), BootUnixMS: r.GetBornUnixMs(),
+			SpeedPermille: int(r.GetSpeedPermille()),
 		})
 	}
 	return targets
--- a/placement/core.go
+++ b/placement/core.go
@@ -58,6 +58,9 @@
 	remembered       map[string]rememberedLosses // by job
 	crashesCheckedAt time.Duration
 
+	runTimes RunTimes
+	speeds   fleetSpeed
+
 	lastExpiry        time.Duration
 	availabilityDirty bool // available targets have changed since the last Ready
 	scheduleDue       bool
@@ -194,6 +197,7 @@
 			available = append(available, AvailableTarget{
 				Target: id, Service: t.Service, Labels: t.Labels, Free: t.free(), Suspect: t.health.suspect(c.now),
 				Idle: len(t.runs) == 0, Address: t.Address, BootUnixMS: t.BootUnixMS,
+				SpeedPermille: speedPermille(t.speed.class),
 			})
 		}
 	}
@@ -275,6 +279,8 @@
 	c.expireReports()
 	c.checkPeers()
 	c.checkCrashes()
+	c.evaluateSpeeds()
+	c.updateScarce()
 	c.scheduleDue = true
 	if c.draining {
 		c.handOverTargets()
--- a/placement/home.go
+++ b/placement/home.go
@@ -35,23 +35,27 @@
 
 // task is one task of a job.
 type task struct {
-	job       *job
-	step      int
-	index     int
-	state     taskState
-	failures  int
-	runs      int // number of the last run
-	ref       uint64
-	placedAt  time.Duration // time of the last placement
-	peer      string        // coordinator that owns the target; empty: this one
-	token     uint64        // fencing token of that owner; 0: not reported yet
-	target    string        // that the last run was on
-	avoid     string        // target that the last run failed on
-	mayBeDone bool          // of a stored job: the last run may count as done
-	notBefore time.Duration
-	losses    []loss // of runs that may have crashed their targets
-	trial     bool   // the last run is alone on its target
-	convicted bool   // has crashed its targets; is not started again
+	job        *job
+	step       int
+	index      int
+	state      taskState
+	failures   int
+	runs       int // number of the last run
+	ref        uint64
+	placedAt   time.Duration // time of the last placement
+	peer       string        // coordinator that owns the target; empty: this one
+	token      uint64        // fencing token of that owner; 0: not reported yet
+	target     string        // that the last run was on
+	offRack    bool          // of a run at another coordinator, as the next ones
+	speedClass int           // of its target, as its owner has sent it
+	startedAt  time.Duration // when its start was reported; 0: not yet
+	waitLimit  time.Duration // until then it may wait for a faster target; 0: it does not wait
+	avoid      string        // target that the last run failed on
+	mayBeDone  bool          // of a stored job: the last run may count as done
+	notBefore  time.Duration
+	losses     []loss // of runs that may have crashed their targets
+	trial      bool   // the last run is alone on its target
+	convicted  bool   // has crashed its targets; is not started again
 }
 
 func (t *task) name() string { return taskName(t.job.ID, t.step, t.index) }
@@ -181,6 +185,9 @@
 
 // processPaused aborts all jobs that are not stored.
 func (c *Core) processPaused() {
+	for _, t := range c.targets {
+		t.forgetRunStarts()
+	}
 	for _, id := range sortedKeys(c.jobs) {
 		if j := c.jobs[id]; j != nil && !j.ending && !j.Stored {
 			c.answerJob(j, Aborted, "coordinator was paused", 0)
@@ -293,9 +300,15 @@
 	}
 	j := t.job
 	if report.Kind == RunStarted {
+		if t.startedAt == 0 {
+			t.startedAt = c.now
+		}
 		t.state, t.target, t.token = running, report.Target, max(t.token, report.Token)
 		return
 	}
+	if report.Kind == RunDone {
+		c.noteRemoteDone(t, &report)
+	}
 	if report.Kind != RunDone {
 		c.logDecision(Decision{
 			Event: "run_ended", Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -7,13 +7,18 @@
 	name     string
 	draining bool
 	targets  []AvailableTarget // its available targets, less what was placed on them since
+	speed    targetSpeed       // slowness of its targets by the speeds that it sends, compared with those here
 	silent   bool              // has not answered a placement in time; no more until its next message
 }
 
 func (c *Core) peerAvailability(e PeerAvailability) {
 	c.scheduleDue = true
 	if !e.Partial {
-		c.peers[e.Peer] = &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
+		p := &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
+		if old := c.peers[e.Peer]; old != nil {
+			p.speed = old.speed
+		}
+		c.peers[e.Peer] = p
 		return
 	}
 	if p := c.peers[e.Peer]; p != nil { // otherwise all targets follow over a new link
@@ -33,6 +38,7 @@
 		switch {
 		case known && t.Service == "":
 			p.targets[i].Free, p.targets[i].Suspect, p.targets[i].Idle = t.Free, t.Suspect, t.Idle
+			p.targets[i].SpeedPermille = t.SpeedPermille
 		case known:
 			p.targets[i] = t
 		case t.Service != "":
@@ -119,6 +125,7 @@
 		c.startRun(t, &run{
 			key: runKey{p.Task, p.Run}, home: e.Peer, ref: p.Ref, queue: p.Queue,
 			need: p.Need, expected: p.Expected, stored: p.Stored, exclusive: p.Alone, suspect: p.Suspect,
+			offRack: !onRack(t.Labels, p.Rack),
 		}, p.Spec)
 	}
 }
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -89,6 +89,9 @@
 	}
 	switch e.Result {
 	case OK:
+		if !r.confirmed {
+			r.measured = !r.offRack && !r.unknown
+		}
 		c.confirmRun(t, r)
 	case Unknown:
 		t.awaitLateStart(r)
@@ -252,6 +255,7 @@
 	if r.stopping || r.expected <= 0 {
 		return
 	}
+	c.noteProgress(t, r, percent)
 	age := c.now - r.confirmedAt
 	switch {
 	case c.now-r.progressAt >= max(stallTimeout, r.expected/2):
@@ -310,6 +314,7 @@
 // updateHealth updates the health of a target after the end of a run.
 func (c *Core) updateHealth(t *target, r *run, kind EndKind) {
 	if kind == EndDone {
+		c.noteDone(t, r)
 		t.health.succeeded()
 		return
 	}
--- a/placement/runtimes.go
+++ b/placement/runtimes.go
@@ -110,13 +110,29 @@
 	if q == nil || q.samples < minRunTimes || estimated <= 0 {
 		return estimated, false
 	}
+	x, y := q.x/q.weight, q.y/q.weight
+	return seconds(math.Exp(y + q.slope()*(math.Log(estimated.Seconds())-x))), true
+}
+
+// Nominal returns the usual work of a task with an estimate, in terms of estimates:
+// one that predicts little is drawn to the mean estimate of its queue.
+func (t *RunTimes) Nominal(queue string, estimated time.Duration) time.Duration {
+	q := t.queues[queue]
+	if q == nil || q.samples < minRunTimes || estimated <= 0 {
+		return estimated
+	}
+	x, slope := q.x/q.weight, q.slope()
+	return seconds(math.Exp(x + slope*(math.Log(estimated.Seconds())-x)))
+}
+
+// slope returns how the logarithm of the run time grows with that of the estimate.
+func (q *queueRunTimes) slope() float64 {
 	x, y := q.x/q.weight, q.y/q.weight
 	variance := q.xx/q.weight - x*x
-	slope := 1.0
-	if variance > 1e-6 { // otherwise all estimates were the same
-		slope = min(max((q.xy/q.weight-x*y)/variance, 0), 1)
+	if variance < 1e-6 {
+		return 1 // all estimates were the same
 	}
-	return seconds(math.Exp(y + slope*(math.Log(estimated.Seconds())-x))), true
+	return min(max((q.xy/q.weight-x*y)/variance, 0), 1)
 }
 
 // seconds returns a time of a number of seconds, at most a year.
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -127,7 +127,7 @@
 func (c *Core) placeTask(j *job, t *task, requests map[string][]Placement) bool {
 	step := &j.Steps[t.step]
 	best, ok := c.bestCandidate(j, t, step)
-	if !ok {
+	if !ok || c.waitsForFaster(t, step, &best) {
 		return false
 	}
 	c.placeOn(&best, t, false, requests)
@@ -140,6 +140,7 @@
 	c.lastRef++
 	t.ref, t.runs, t.state, t.placedAt = c.lastRef, t.runs+1, starting, c.now
 	t.trial = alone
+	t.startedAt, t.waitLimit = 0, 0
 	c.placements[t.ref] = t
 	j.inFlight++
 	j.started = true
@@ -148,12 +149,14 @@
 		c.startRun(best.target, &run{
 			key: runKey{t.name(), t.runs}, ref: t.ref, queue: j.Queue,
 			need: step.Need, expected: step.Expected, stored: j.Stored, exclusive: alone, suspect: t.suspected(),
+			offRack: !onRack(best.target.Labels, step.Rack),
 		}, j.Spec)
 		return
 	}
 	best.remote.Free = best.remote.Free.Sub(step.Need)
 	best.remote.Idle = false
 	t.peer, t.target = best.peer.name, best.remote.Target
+	t.speedClass, t.offRack = sentClass(best.remote), !onRack(best.remote.Labels, step.Rack)
 	requests[t.peer] = append(requests[t.peer], Placement{
 		Ref: t.ref, Task: t.name(), Run: t.runs, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Need: step.Need, Expected: step.Expected, Requirement: step.Requirement, Rack: step.Rack,
@@ -165,6 +168,7 @@
 // here, and with the least capacity left over.
 func (c *Core) bestCandidate(j *job, t *task, step *Step) (candidate, bool) {
 	var best candidate
+	var speeds speedCosts
 	found := false
 	for _, owned := range c.targets {
 		if owned.Service != j.Service || !matches(owned.Labels, step.Requirement) ||
@@ -176,6 +180,7 @@
 		if owned.health.suspect(c.now) {
 			option.score += suspectCost
 		}
+		option.score += speeds.of(c, t, step, owned.speed.class)
 		if !found || option.better(&best) {
 			best, found = option, true
 		}
@@ -194,6 +199,7 @@
 			if remote.Suspect {
 				option.score += suspectCost
 			}
+			option.score += speeds.of(c, t, step, c.remoteClass(p, remote))
 			if !found || option.better(&best) {
 				best, found = option, true
 			}
--- a/placement/target.go
+++ b/placement/target.go
@@ -20,27 +20,30 @@
 
 // run is a run on a target of this coordinator, from its order to its end.
 type run struct {
-	key         runKey
-	home        string // coordinator of the job; empty: this one
-	ref         uint64 // of the placement at the home
-	queue       string
-	need        Resources
-	expected    time.Duration
-	orderedAt   time.Duration
-	percent     int           // of its work, as last reported by the target
-	progressAt  time.Duration // when percent last changed
-	confirmed   bool          // the target has reported the run
-	listed      bool          // the boot in use has listed the run; a start's response names no boot
-	confirmedAt time.Duration // when it was confirmed
-	stored      bool          // its end has to be in the log before it is acknowledged
-	stopping    bool
-	stopSent    bool
-	stopSentAt  time.Duration // when the stop was sent
-	unknown     bool          // found on the target, from an earlier owner
-	accompanied bool          // another run has been on the target since the start
-	exclusive   bool          // no other run may be started on the target
-	suspect     bool          // may crash its target
-	crash       *TargetLoss   // of the earlier boot, which may have started the run
+	key             runKey
+	home            string // coordinator of the job; empty: this one
+	ref             uint64 // of the placement at the home
+	queue           string
+	need            Resources
+	expected        time.Duration
+	orderedAt       time.Duration
+	percent         int           // of its work, as last reported by the target
+	progressAt      time.Duration // when percent last changed
+	confirmed       bool          // the target has reported the run
+	listed          bool          // the boot in use has listed the run; a start's response names no boot
+	confirmedAt     time.Duration // when it was confirmed
+	stored          bool          // its end has to be in the log before it is acknowledged
+	stopping        bool
+	stopSent        bool
+	stopSentAt      time.Duration // when the stop was sent
+	unknown         bool          // found on the target, from an earlier owner
+	accompanied     bool          // another run has been on the target since the start
+	exclusive       bool          // no other run may be started on the target
+	suspect         bool          // may crash its target
+	crash           *TargetLoss   // of the earlier boot, which may have started the run
+	offRack         bool          // away from the rack of its data, where it takes longer
+	measured        bool          // its start was confirmed at once, so that its run time is known at its end
+	progressCounted bool          // its progress has counted for the target's speed
 }
 
 // target is a target that this coordinator owns or is about to own.
@@ -67,6 +70,7 @@
 	bootPoll       uint64                 // outstanding poll of that boot; 0: none
 	owned          bool                   // has been ready under this coordinator
 	health         health
+	speed          targetSpeed
 	restored       bool          // no heartbeat has arrived at this process
 	refuses        bool          // the last order found no process at the address
 	lateStartUntil time.Duration // until then a start without a response may arrive
@@ -432,6 +436,7 @@
 	for _, r := range t.runs {
 		r.stopSent = false
 	}
+	t.forgetRunStarts()
 	c.fenceTarget(t)
 	c.availabilityChanged()
 	c.pollIfNeeded(t)
--- a/placement/types.go
+++ b/placement/types.go
@@ -131,6 +131,8 @@
 	Free    Resources
 	Suspect bool // considered last: has failed a run or is slow
 	Idle    bool // without runs
+	// SpeedPermille is the learned speed in thousandths of the mean; 0: unknown or near it.
+	SpeedPermille int
 
 	Address    string // empty in an update, as Service
 	BootUnixMS int64
