--- a/cluster/availability_test.go
+++ b/cluster/availability_test.go
@@ -52,4 +52,20 @@
 		p.correct("t")
 		Expect(p.updates(targets, false, []string{"c1"})["c1"].GetRooms()).To(HaveLen(1))
 	})
+
+	// Guards against messages for each small change of a learned speed, and against a speed
+	// that drifts away from the one sent.
+	It("contain a speed that has moved by a tenth, or has become known or unknown", func() {
+		p := newAvailabilityPublisher()
+		sends := func(speed int) bool {
+			target := available("t", 8)
+			target.SpeedPermille = speed
+			return len(p.updates([]placement.AvailableTarget{target}, false, []string{"c1"})) > 0
+		}
+		Expect(sends(0)).To(BeTrue())
+		Expect(sends(1500)).To(BeTrue())
+		Expect(sends(1400)).To(BeFalse())
+		Expect(sends(1350)).To(BeTrue())
+		Expect(sends(0)).To(BeTrue())
+	})
 })
