Refuse no stored job that may be in the log, and count only startable work

Cause, from a review: a repeat of a job whose proposal had no known outcome could be refused as not accepted and then run; jobs taken over from a lost home counted as backlog although they may not start for seconds, so that nothing was admitted and the rate of starts fell to zero; a coordinator's own trouble with the log was a final refusal; the time of an outage was kept after links had returned. Change: the gate remembers such jobs for 15 s; the backlog has only tasks that wait for capacity; without starts the wait of the oldest job counts; a silent log is a reason to try another coordinator; the outage ends with the first link; publishing wakes up only for documents.

--- a/cluster/admission/admission.go
+++ b/cluster/admission/admission.go
@@ -21,6 +21,10 @@
 	logTimeout = 250 * time.Millisecond
 	// probeInterval is how often a job is proposed while the log does not respond.
 	probeInterval = 100 * time.Millisecond
+	// unknownLifetime is how long a job whose proposal has no known outcome may still
+	// be in the log without being applied here: two time limits of a proposal, one of
+	// them at the leader, and the lag of a coordinator.
+	unknownLifetime = 15 * time.Second
 	// minRetry and maxRetry bound the delay after which a refused caller returns.
 	// The unit of the callers' interface is a second.
 	minRetry = time.Second
@@ -55,7 +59,8 @@
 	case ahead == 0 || b.Oldest < minDelay:
 		return 0
 	case b.Rate <= 0:
-		return math.MaxInt64
+		// Nothing has started lately, which tells nothing about the capacity.
+		return b.Oldest
 	}
 	return time.Duration(min(ahead/b.Rate*float64(time.Second), math.MaxInt64/2))
 }
@@ -64,51 +69,91 @@
 type Verdict struct {
 	Reason     string
 	RetryAfter time.Duration
+	Elsewhere  bool // another coordinator may accept the job at once
 }
 
 // Gate decides on the jobs of one coordinator. It is not safe for concurrent use.
 type Gate struct {
-	inFlight  map[uint64]time.Duration // time of the proposal by number
+	inFlight  map[uint64]proposal
 	last      uint64
 	lastProbe time.Duration
+	// unknown is when a proposal of a job ended without a known outcome, by job ID. The
+	// job may be in the log, so that it must not be refused.
+	unknown map[string]time.Duration
 }
 
-// NewGate returns a gate without commands in flight.
+type proposal struct {
+	job string
+	at  time.Duration
+}
+
+// NewGate returns a gate without proposals in flight.
 func NewGate() *Gate {
-	return &Gate{inFlight: map[uint64]time.Duration{}, lastProbe: math.MinInt64 / 2}
+	return &Gate{inFlight: map[uint64]proposal{}, unknown: map[string]time.Duration{}, lastProbe: math.MinInt64 / 2}
 }
 
 // Decide returns whether a job is to be proposed to the log.
 func (g *Gate) Decide(now time.Duration, job Job, backlog *Backlog) Verdict {
-	if age := g.oldest(now); age > logTimeout {
-		if now-g.lastProbe < probeInterval {
-			return Verdict{Reason: "log does not respond", RetryAfter: spread(job.ID, minRetry, 2*minRetry)}
-		}
-		g.lastProbe = now
+	if g.mayBeStored(now, job.ID) {
+		return Verdict{} // accepting it again changes nothing
+	}
+	silent := g.oldest(now) > logTimeout
+	if silent && now-g.lastProbe < probeInterval {
+		return Verdict{Reason: "log does not respond", RetryAfter: spread(job.ID, minRetry, 2*minRetry), Elsewhere: true}
 	}
 	delay := backlog.Delay(job.Priority)
 	if delay <= max(job.Slack, minDelay) {
+		if silent {
+			g.lastProbe = now
+		}
 		return Verdict{}
 	}
 	from := min(max(delay/2, minRetry), maxRetry/2)
 	return Verdict{Reason: "too many jobs wait", RetryAfter: spread(job.ID, from, min(max(delay, 2*from), maxRetry))}
 }
 
+// mayBeStored reports whether an earlier proposal of the job is in flight or has ended
+// without a known outcome.
+func (g *Gate) mayBeStored(now time.Duration, id string) bool {
+	if since, ok := g.unknown[id]; ok && now-since <= unknownLifetime {
+		return true
+	}
+	for _, p := range g.inFlight {
+		if p.job == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin records a proposal and returns its number.
-func (g *Gate) Begin(now time.Duration) uint64 {
+func (g *Gate) Begin(now time.Duration, id string) uint64 {
 	g.last++
-	g.inFlight[g.last] = now
+	g.inFlight[g.last] = proposal{job: id, at: now}
 	return g.last
 }
 
-// End records that the log has answered a proposal, or that it is given up.
-func (g *Gate) End(number uint64) { delete(g.inFlight, number) }
+// End records that a proposal has ended, and whether its outcome is known.
+func (g *Gate) End(now time.Duration, number uint64, known bool) {
+	p := g.inFlight[number]
+	delete(g.inFlight, number)
+	if known {
+		delete(g.unknown, p.job)
+		return
+	}
+	for id, since := range g.unknown {
+		if now-since > unknownLifetime {
+			delete(g.unknown, id)
+		}
+	}
+	g.unknown[p.job] = now
+}
 
 // oldest returns the age of the oldest proposal in flight.
 func (g *Gate) oldest(now time.Duration) time.Duration {
 	var age time.Duration
-	for _, since := range g.inFlight {
-		age = max(age, now-since)
+	for _, p := range g.inFlight {
+		age = max(age, now-p.at)
 	}
 	return age
 }
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -376,6 +376,7 @@
 		return
 	}
 	c.unresponsive = false
+	g.unservedSince = time.Time{}
 	for _, p := range g.pending {
 		if p.coordinator == name {
 			p.sentAt = time.Now()
@@ -441,6 +442,7 @@
 func (g *Gateway) LinkUp(hello *wire.Hello) {
 	g.mu.Lock()
 	g.coordinators[hello.GetInstance()] = &linkedCoordinator{dataCentre: hello.GetDataCentre(), heardAt: time.Now()}
+	g.unservedSince = time.Time{}
 	g.mu.Unlock()
 	g.options.Logger.Info().Str("event", "link_up").Str("peer", hello.GetInstance()).Send()
 }
--- a/cluster/lognode.go
+++ b/cluster/lognode.go
@@ -119,8 +119,9 @@
 			l.signalApplied()
 		},
 		OnCommitSynced: func(index uint64) {
-			l.store.commitSynced(index)
-			l.signalApplied()
+			if l.store.commitSynced(index) {
+				l.signalApplied()
+			}
 		},
 		OnStatus: func(status node.Status) {
 			options.Logger.Info().Str("event", "voter_status").Str("role", status.Role.String()).
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -77,14 +77,17 @@
 }
 
 // commitSynced records that this coordinator starts with the entries up to index
-// again after a restart.
-func (s *stateStore) commitSynced(index uint64) {
+// again after a restart, and reports whether a document has become the synced one.
+func (s *stateStore) commitSynced(index uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	published := false
 	for len(s.unsynced) > 0 && s.unsynced[0].index <= index {
 		s.synced = s.unsynced[0].Document
 		s.unsynced = s.unsynced[1:]
+		published = true
 	}
+	return published
 }
 
 // jobState returns the state of a stored job.
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -42,19 +42,19 @@
 	if c.isDraining() {
 		return refusal("coordinator is leaving")
 	}
-	proposal, refused := c.admitJob(submission)
-	if refused != nil {
-		return refused
-	}
-	defer c.endProposal(proposal)
 	ctx, cancel := context.WithTimeout(ctx, logOperationTimeout)
 	defer cancel()
 	if err := c.logNode.catchUp.check(ctx); err != nil {
 		return refusal(err.Error())
 	}
+	proposal, refused := c.admitJob(submission)
+	if refused != nil {
+		return refused
+	}
 	_, err := c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
 		Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: submission, Home: c.options.Placement.Home}},
 	}}})
+	c.endProposal(proposal, err == nil || errors.Is(err, ErrRefused))
 	switch {
 	case err == nil:
 		return &wire.SubmissionAnswer{Outcome: wire.JobOutcome_JOB_OUTCOME_ACCEPTED}
@@ -74,18 +74,22 @@
 	verdict := c.gate.Decide(now, admission.Job{ID: job.ID, Priority: job.Priority, Slack: job.StartSlack()},
 		&admission.Backlog{Work: backlog.Work, Rate: backlog.Rate, Oldest: backlog.Oldest})
 	if verdict.Reason == "" {
-		return c.gate.Begin(now), nil
+		return c.gate.Begin(now, job.ID), nil
 	}
 	storedRefusals(verdict.Reason).Inc()
+	if verdict.Elsewhere {
+		return 0, refusal(verdict.Reason)
+	}
 	return 0, &wire.SubmissionAnswer{
 		Outcome: wire.JobOutcome_JOB_OUTCOME_NOT_RUN, Reason: verdict.Reason, RetryAfterMs: ms(verdict.RetryAfter),
 	}
 }
 
-func (c *Coordinator) endProposal(number uint64) {
+// endProposal records the end of a proposal, and whether its outcome is known.
+func (c *Coordinator) endProposal(number uint64, known bool) {
 	c.gateMu.Lock()
 	defer c.gateMu.Unlock()
-	c.gate.End(number)
+	c.gate.End(boottimeNow(), number, known)
 }
 
 // refusal returns an answer after which the gateway tries another coordinator.
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -55,18 +55,42 @@
 	return (r.last*startRateWindow.Seconds() + r.current) / length.Seconds()
 }
 
-// StoredBacklog returns the backlog of stored jobs at this home.
+// StoredBacklog returns the backlog of stored jobs at this home: the tasks of jobs that
+// have not begun and that could start now. Tasks that wait for a new home's take-over
+// or for the log are left out, as they would only make admission refuse jobs that have
+// free targets.
 func (c *Core) StoredBacklog() StoredBacklog {
 	b := StoredBacklog{Work: map[int]float64{}, Rate: c.storedStarts.perSecond(c.now)}
+	if !c.homeLeaseValid() {
+		return b
+	}
 	for _, j := range c.queue {
 		age := c.now - j.submittedAt
-		if !j.Stored || j.started || j.ending || age > backlogAgeFactor*j.objective() {
+		if !j.Stored || j.begun || j.ending || age > backlogAgeFactor*j.objective() {
 			continue
 		}
-		b.Oldest = max(b.Oldest, age)
-		for step := range j.Steps {
-			b.Work[j.Priority] += float64(j.Steps[step].Count) * j.Steps[step].cpuSeconds()
+		work := c.startableWork(j)
+		if work > 0 {
+			b.Oldest = max(b.Oldest, age)
+			b.Work[j.Priority] += work
 		}
 	}
 	return b
 }
+
+// startableWork returns the estimated CPU time, in core-seconds, of the tasks of a job
+// that wait for capacity alone.
+func (c *Core) startableWork(j *job) float64 {
+	work := 0.0
+	for step := range j.tasks {
+		if !j.stepReady(step) {
+			continue
+		}
+		for _, t := range j.tasks[step] {
+			if t.state == waiting && c.now >= t.notBefore && !t.mayBeDone && !t.suspected() {
+				work += j.Steps[step].cpuSeconds()
+			}
+		}
+	}
+	return work
+}
