--- a/cluster/availability_test.go
+++ b/cluster/availability_test.go
@@ -52,4 +52,14 @@
 		p.correct("t")
 		Expect(p.updates(targets, false, []string{"c1"})["c1"].GetRooms()).To(HaveLen(1))
 	})
+
+	// Guards against homes that keep a target which is gone: the correction after a
+	// rejection made the publisher forget that it had announced the target.
+	It("name a corrected target that is no longer available as removed", func() {
+		p := newAvailabilityPublisher()
+		p.updates([]placement.AvailableTarget{available("t", 8), available("u", 8)}, false, []string{"c1"})
+		p.correct("t")
+		update := p.updates([]placement.AvailableTarget{available("u", 8)}, false, []string{"c1"})["c1"]
+		Expect(update.GetRemoved()).To(HaveExactElements("t"))
+	})
 })
