Keep the view of other coordinators' capacity consistent

Cause: homes place tasks on targets of other coordinators from updates that are some milliseconds old. An update that was made before a home's placements arrived restored the capacity in the home's view; with all demand at one coordinator this explains the rejections. Under even load most of them come from several homes, and the owner, that use the last free capacity at the same time.

Change: an update names the last placement of its receiver that it includes, and the home keeps later ones subtracted. It also names the demand of each home. While homes compete for the capacity of few tasks, each target is kept for one home for 50 ms, by weighted rendezvous hashing, and the last four tasks' capacity for the owner. After a rejection no task as large goes to that owner before its next update.

--- a/placement/core.go
+++ b/placement/core.go
@@ -45,6 +45,7 @@
 	linked map[string]bool
 	// peerHeardAt is the time of the last message of each linked coordinator.
 	peerHeardAt map[string]time.Duration
+	requesters  map[string]requester      // linked coordinators that have requested placements
 	reports     map[string][]queuedReport // by peer
 	handOvers   map[string][]sentHandOver
 	draining    bool
@@ -82,6 +83,7 @@
 		peers:         map[string]*peer{},
 		linked:        map[string]bool{},
 		peerHeardAt:   map[string]time.Duration{},
+		requesters:    map[string]requester{},
 		reports:       map[string][]queuedReport{},
 		handOvers:     map[string][]sentHandOver{},
 		remembered:    map[string]rememberedLosses{},
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -8,17 +8,24 @@
 	draining bool
 	targets  []AvailableTarget // its available targets, less what was placed on them since
 	silent   bool              // has not answered a placement in time; no more until its next message
+	peerView
 }
 
 func (c *Core) peerAvailability(e PeerAvailability) {
 	c.scheduleDue = true
 	if !e.Partial {
-		c.peers[e.Peer] = &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
+		p := &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
+		if old := c.peers[e.Peer]; old != nil {
+			p.pending = old.pending
+		}
+		c.peers[e.Peer] = p
+		p.updated(c.now, &e)
 		return
 	}
 	if p := c.peers[e.Peer]; p != nil { // otherwise all targets follow over a new link
 		p.draining = e.Draining
 		p.update(e.Targets, e.Removed)
+		p.updated(c.now, &e)
 	}
 }
 
@@ -76,6 +83,7 @@
 	delete(c.peers, name)
 	delete(c.linked, name)
 	delete(c.peerHeardAt, name)
+	delete(c.requesters, name)
 	c.failHandOvers(name)
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
@@ -106,6 +114,7 @@
 func (c *Core) placementsRequested(e PlacementsRequested) {
 	for i := range e.Placements {
 		p := &e.Placements[i]
+		c.notePlacementRequest(e.Peer, p.Ref)
 		t := c.targetFor(p)
 		if t == nil || t.ID != p.Target {
 			// The home has taken the task's need off the target that it has chosen.
@@ -113,7 +122,7 @@
 			c.availabilityDirty = true
 		}
 		if t == nil {
-			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: "no room"})
+			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: ReasonNoRoom})
 			continue
 		}
 		c.startRun(t, &run{
@@ -173,6 +182,7 @@
 		}
 		if report.Kind == RunRejected {
 			c.clearFree(e.Peer, report.Target)
+			c.peers[e.Peer].rejected(t, &report)
 		}
 		if report.Kind == RunStarted && report.Token < t.token {
 			continue // of an earlier owner
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -154,6 +154,7 @@
 	best.remote.Free = best.remote.Free.Sub(step.Need)
 	best.remote.Idle = false
 	t.peer, t.target = best.peer.name, best.remote.Target
+	best.peer.pending = append(best.peer.pending, pendingPlacement{t.ref, t.target, step.Need})
 	requests[t.peer] = append(requests[t.peer], Placement{
 		Ref: t.ref, Task: t.name(), Run: t.runs, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Need: step.Need, Expected: step.Expected, Requirement: step.Requirement, Rack: step.Rack,
@@ -181,20 +182,21 @@
 		}
 	}
 	for _, p := range c.peers {
-		if p.silent {
+		if p.silent || p.lacksRoom(j, step) {
 			continue
 		}
+		level := unknown
 		for i := range p.targets {
 			remote := &p.targets[i]
-			if remote.Service != j.Service || !matches(remote.Labels, step.Requirement) ||
-				!step.Need.Fits(remote.Free) || c.atPerTargetLimit(t, step, remote.Target) {
+			if !step.Need.Fits(remote.Free) || remote.Service != j.Service || !matches(remote.Labels, step.Requirement) ||
+				c.atPerTargetLimit(t, step, remote.Target) {
 				continue
 			}
 			option := candidate{peer: p, remote: remote, score: remoteCost + c.score(t, step, remote.Target, remote.Labels, remote.Free)}
 			if remote.Suspect {
 				option.score += suspectCost
 			}
-			if !found || option.better(&best) {
+			if (!found || option.better(&best)) && c.mayUse(p, remote, &level, j, step) {
 				best, found = option, true
 			}
 		}
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -67,6 +67,7 @@
 	clockSpread  time.Duration // largest error of a coordinator's time of day
 	log          *simLog
 	crashes      *simCrashes
+	views        *simViews // nil: available targets are sent in full at each change
 }
 
 type simCoordinator struct {
@@ -199,6 +200,7 @@
 		s.trace(c, "->", effect)
 		s.effect(c, effect)
 	}
+	s.views.publish(s, c)
 }
 
 func (s *simulation) coordinator(name string) *simCoordinator {
@@ -232,6 +234,9 @@
 }
 
 func (s *simulation) effect(c *simCoordinator, effect placement.Effect) {
+	if s.views.observe(s, c, effect) {
+		return
+	}
 	switch e := effect.(type) {
 	case placement.StartOrder:
 		s.order(c, e.Target.ID, e.Order, e.Timeout, func(r *emulator.Runner) placement.OrderResponse { return r.Start(s.now, &e) })
