--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -161,6 +161,7 @@
 	best.remote.Idle = false
 	t.peer, t.target = best.peer.name, best.remote.Target
 	t.speedClass, t.offRack = sentClass(best.remote), !onRack(best.remote.Labels, step.Rack)
+	best.peer.pending = append(best.peer.pending, pendingPlacement{t.ref, t.target, step.Need})
 	requests[t.peer] = append(requests[t.peer], Placement{
 		Ref: t.ref, Task: t.name(), Run: t.runs, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Need: step.Need, Expected: step.Expected, Requirement: step.Requirement, Rack: step.Rack,
@@ -191,9 +192,10 @@
 		}
 	}
 	for _, p := range c.peers {
-		if p.silent {
+		if p.silent || p.lacksRoom(j, step) {
 			continue
 		}
+		level := unknown
 		for i := range p.targets {
 			remote := &p.targets[i]
 			if remote.Service != j.Service || !matches(remote.Labels, step.Requirement) ||
@@ -206,7 +208,7 @@
 			}
 			option.score += remote.coldCost()
 			option.score += speeds.of(c, t, step, c.remoteClass(p, remote))
-			if !found || option.better(&best) {
+			if (!found || option.better(&best)) && (level == ample || c.mayUse(p, remote, &level, j, step)) {
 				best, found = option, true
 			}
 		}
