Order waiting jobs by what their delay costs callers

Cause: waiting jobs were served by priority and arrival, so that in a shortage the least urgent class got what was left, each job waited a quarter of its objective before it was refused, and a wide job could hold capacity that the rest of its step could not join in time.

Ruled out: earliest deadline first and arrival order within a class (the wait of all served jobs then grows to the limit, and more of them are late), worth per estimated work (prefers jobs whose run time is underestimated).

Change: package placement/queuepolicy ranks waiting jobs (started, below the floor of the class or of its wide jobs, in time, late) and refuses those that the backlog makes late, with a reason and a Retry-After that is spread over the backlog's time. placement.Options.QueueOrder selects it; the default is the order as before.

--- a/placement/core.go
+++ b/placement/core.go
@@ -37,6 +37,7 @@
 	queue      []*job           // jobs with waiting tasks, in scheduling order
 	placements map[uint64]*task // tasks with a placement, by ref
 	lastRef    uint64
+	costOrder  *costOrder // nil: PriorityOrder
 
 	restored        []Description
 	adoptRestoredAt time.Duration
@@ -85,6 +86,7 @@
 		reports:       map[string][]queuedReport{},
 		handOvers:     map[string][]sentHandOver{},
 		remembered:    map[string]rememberedLosses{},
+		costOrder:     newCostOrder(options.QueueOrder),
 	}
 }
 
--- a/placement/home.go
+++ b/placement/home.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"hawthornshore.example/placement/queuepolicy"
 )
 
 type taskState int
@@ -24,9 +26,13 @@
 	inFlight    int       // tasks that are starting or running
 	started     bool      // a task may have started
 	queued      bool
-	ending      bool    // no further starts; waits for the runs to end
-	successor   *Submit // a later submission of the ID, admitted after the end
-	epoch       int     // of a stored job: number of moves to other homes
+	offered     bool // the cost order has counted the job
+	tried       bool // a scheduling pass has looked for capacity
+	rank        queuepolicy.Rank
+	view        queuepolicy.Job // as of the last tick
+	ending      bool            // no further starts; waits for the runs to end
+	successor   *Submit         // a later submission of the ID, admitted after the end
+	epoch       int             // of a stored job: number of moves to other homes
 
 	aliveUntil time.Duration // lost runs may be alive until then
 
@@ -114,6 +120,7 @@
 	if !j.queued {
 		j.queued = true
 		c.queue = append(c.queue, j)
+		c.offerJob(j)
 	}
 }
 
--- a/placement/options.go
+++ b/placement/options.go
@@ -18,6 +18,8 @@
 	// UnixMS is the wall-clock time at the start of the core, in Unix ms; the
 	// fencing tokens are based on it.
 	UnixMS int64
+	// QueueOrder is the order in which waiting jobs get capacity.
+	QueueOrder QueueOrder
 }
 
 const (
--- /dev/null
+++ b/placement/queueorder.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"hawthornshore.example/placement/queuepolicy"
+)
+
+// QueueOrder is the order in which waiting jobs get capacity.
+type QueueOrder string
+
+// Orders of waiting jobs.
+const (
+	// PriorityOrder serves jobs by priority and arrival, and refuses those that have
+	// waited for a share of their objective. It is the default.
+	PriorityOrder QueueOrder = "priority"
+	// CostOrder delays and refuses the jobs whose loss costs callers least.
+	CostOrder QueueOrder = "cost"
+)
+
+// costOrder applies the queue policy to a core.
+type costOrder struct {
+	policy *queuepolicy.Policy
+	// capacity of each service, as of the last tick.
+	capacity map[string]*queuepolicy.Capacity
+	pass     schedulingPass
+}
+
+// schedulingPass is the state of one scheduling pass.
+type schedulingPass struct {
+	// full has the least need of each kind that found no target. During a pass
+	// capacity only decreases.
+	full map[placementKind]Resources
+	// owed is the CPU that tasks of started jobs still wait for, by service.
+	owed map[string]int64
+	// placed has the services of which a job was placed.
+	placed map[string]bool
+}
+
+type placementKind struct{ service, requirement string }
+
+func newCostOrder(o QueueOrder) *costOrder {
+	if o != CostOrder {
+		return nil
+	}
+	return &costOrder{
+		policy: queuepolicy.New(), capacity: map[string]*queuepolicy.Capacity{},
+		pass: schedulingPass{full: map[placementKind]Resources{}, owed: map[string]int64{}, placed: map[string]bool{}},
+	}
+}
+
+// expectedTime returns the expected run time of a task of a step: the caller's estimate.
+func (c *Core) expectedTime(_ *job, step *Step) time.Duration { return step.Expected }
+
+// policyJob describes a job to the queue policy.
+func (c *Core) policyJob(j *job) queuepolicy.Job {
+	objective := j.objective()
+	p := queuepolicy.Job{
+		ID: j.ID, Pool: j.Service, Class: j.Queue, Priority: j.Priority,
+		Age: c.now - j.submittedAt, Objective: objective, Useful: abortFactor * objective,
+		Started: j.started, Stored: j.Stored, Tried: j.tried && !j.ending,
+	}
+	if j.Budget > 0 {
+		p.Useful = min(p.Useful, j.Budget)
+	}
+	var buffer [8]time.Duration
+	ends := append(buffer[:0], make([]time.Duration, len(j.Steps))...)
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		expected := c.expectedTime(j, step)
+		p.Width = max(p.Width, step.Count)
+		p.Restricted = p.Restricted || step.Requirement != ""
+		waits := 0
+		for _, t := range j.tasks[i] {
+			if t.state == waiting {
+				waits++
+			}
+		}
+		work := step.Need.CPUMillis * expected.Milliseconds()
+		p.Work += int64(waits) * work
+		p.Spent += int64(step.Count-waits) * work
+		for _, earlier := range step.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if waits > 0 {
+			ends[i] += expected
+		}
+		p.Path = max(p.Path, ends[i])
+	}
+	return p
+}
+
+// offerJob counts a new job and gives it a place in the order.
+func (c *Core) offerJob(j *job) {
+	if c.costOrder == nil {
+		return
+	}
+	p := c.policyJob(j)
+	if !j.offered {
+		j.offered = true
+		c.costOrder.policy.Offered(c.now, &p)
+	}
+	j.rank = c.costOrder.policy.Rank(c.now, &p)
+}
+
+// jobStarted counts the first start of a job.
+func (c *Core) jobStarted(j *job) {
+	if c.costOrder != nil {
+		c.costOrder.pass.placed[j.Service] = true
+		p := c.policyJob(j)
+		c.costOrder.policy.Started(c.now, &p)
+		j.rank = c.costOrder.policy.Rank(c.now, &p)
+	}
+}
+
+// applyCostOrder ranks the waiting jobs anew and refuses those that the policy gives up.
+func (c *Core) applyCostOrder() {
+	c.readCapacity()
+	order := c.costOrder
+	for _, j := range c.queue {
+		j.view = c.policyJob(j)
+		j.rank = order.policy.Rank(c.now, &j.view)
+	}
+	c.sortQueue()
+	queue := slices.Clone(c.queue)
+	waiting := make([]*queuepolicy.Job, len(queue))
+	for i, j := range queue {
+		waiting[i] = &j.view
+	}
+	for _, refusal := range order.policy.Refuse(c.now, waiting, order.capacity) {
+		j := queue[refusal.Index]
+		c.answerJob(j, NotRun, refusal.Reason, refusal.RetryAfter)
+		c.endJob(j)
+	}
+}
+
+// readCapacity sets the capacity of each service: what is free anywhere, and the
+// expected ends of the tasks whose home is here.
+func (c *Core) readCapacity() {
+	clear(c.costOrder.capacity)
+	of := func(service string) *queuepolicy.Capacity {
+		found := c.costOrder.capacity[service]
+		if found == nil {
+			found = &queuepolicy.Capacity{}
+			c.costOrder.capacity[service] = found
+		}
+		return found
+	}
+	for _, t := range c.placements {
+		step := &t.job.Steps[t.step]
+		capacity := of(t.job.Service)
+		capacity.Ends = append(capacity.Ends, queuepolicy.End{After: max(t.placedAt+c.expectedTime(t.job, step)-c.now, 0), CPU: step.Need.CPUMillis})
+	}
+	for _, t := range c.targets {
+		if t.usable(c.now) {
+			of(t.Service).Free += t.free().CPUMillis
+		}
+	}
+	for _, p := range c.peers {
+		for i := range p.targets {
+			of(p.targets[i].Service).Free += p.targets[i].Free.CPUMillis
+		}
+	}
+	for _, capacity := range c.costOrder.capacity {
+		queuepolicy.SortEnds(capacity.Ends)
+	}
+}
+
+// beginPass starts a scheduling pass.
+func (o *costOrder) beginPass() {
+	if o != nil {
+		clear(o.pass.full)
+		clear(o.pass.owed)
+		clear(o.pass.placed)
+	}
+}
+
+// isFull reports whether a smaller task of the same kind has found no target in this pass.
+func (o *costOrder) isFull(j *job, step *Step) bool {
+	if o == nil {
+		return false
+	}
+	least, known := o.pass.full[placementKind{j.Service, step.Requirement}]
+	return known && least.Fits(step.Need)
+}
+
+// recordFull records that no target has capacity for a task.
+func (o *costOrder) recordFull(j *job, t *task, step *Step) {
+	if o == nil || t.suspected() || step.PerTarget > 0 {
+		return // the task may be kept from a target that has capacity
+	}
+	kind := placementKind{j.Service, step.Requirement}
+	if least, known := o.pass.full[kind]; !known || step.Need.Fits(least) {
+		o.pass.full[kind] = step.Need
+	}
+}
+
+// mayStart reports whether a job whose first task would start now gets the rest of its
+// step in time: capacity that is free now, or that comes free by the expected ends and
+// is not owed to jobs that have started. With nothing in progress the job may start in any
+// case: a step that exceeds all targets would never start otherwise. So may stored jobs,
+// which have no time limit.
+func (c *Core) mayStart(j *job, step int) bool {
+	count, need := len(j.tasks[step]), j.Steps[step].Need.CPUMillis
+	if c.costOrder == nil || j.started || j.Stored || count <= 1 || need <= 0 {
+		return true
+	}
+	fits := c.countFits(j, &j.Steps[step], count)
+	capacity := c.costOrder.capacity[j.Service]
+	if fits >= count || capacity == nil || len(capacity.Ends) == 0 && !c.costOrder.pass.placed[j.Service] {
+		return true
+	}
+	p := c.policyJob(j)
+	freed := capacity.FreedWithin(p.Slack()) - c.costOrder.pass.owed[j.Service]
+	return freed >= int64(count-fits)*need
+}
+
+// countFits returns how many tasks of a step have capacity now, at most limit.
+func (c *Core) countFits(j *job, step *Step, limit int) int {
+	count := 0
+	add := func(free Resources) {
+		for on := 0; count < limit && step.Need.Fits(free) && (step.PerTarget == 0 || on < step.PerTarget); on++ {
+			free = free.Sub(step.Need)
+			count++
+		}
+	}
+	for _, t := range c.targets {
+		if t.Service == j.Service && matches(t.Labels, step.Requirement) && t.usable(c.now) {
+			add(t.free())
+		}
+	}
+	for _, p := range c.peers {
+		if p.silent {
+			continue
+		}
+		for i := range p.targets {
+			if remote := &p.targets[i]; remote.Service == j.Service && matches(remote.Labels, step.Requirement) {
+				add(remote.Free)
+			}
+		}
+	}
+	return count
+}
+
+// recordOwed records what the ready tasks of a started job still wait for.
+func (c *Core) recordOwed(j *job) {
+	if c.costOrder == nil || !j.started {
+		return
+	}
+	for step := range j.tasks {
+		if !j.stepReady(step) {
+			continue
+		}
+		for _, t := range j.tasks[step] {
+			if t.state == waiting {
+				c.costOrder.pass.owed[j.Service] += j.Steps[step].Need.CPUMillis
+			}
+		}
+	}
+}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -31,6 +31,7 @@
 	}
 	c.scheduleDue = false
 	c.sortQueue()
+	c.costOrder.beginPass()
 	requests := map[string][]Placement{}
 	for _, j := range c.queue {
 		c.place(j, requests)
@@ -46,6 +47,12 @@
 }
 
 func (c *Core) sortQueue() {
+	if c.costOrder != nil {
+		slices.SortStableFunc(c.queue, func(a, b *job) int {
+			return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.submittedAt, b.submittedAt))
+		})
+		return
+	}
 	slices.SortStableFunc(c.queue, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.submittedAt, b.submittedAt))
 	})
@@ -71,8 +78,10 @@
 		return
 	}
 	var placed []string
+	wasStarted := j.started
+	j.tried = true
 	for step := range j.tasks {
-		if !j.stepReady(step) {
+		if !j.stepReady(step) || !c.mayStart(j, step) {
 			continue
 		}
 		for _, t := range j.tasks[step] {
@@ -95,6 +104,10 @@
 			placed = append(placed, t.location())
 		}
 	}
+	if j.started && !wasStarted {
+		c.jobStarted(j)
+	}
+	c.recordOwed(j)
 	if len(placed) > 0 {
 		c.logDecision(Decision{
 			Event: "job_placed", Job: j.ID, Reason: strings.Join(placed, " "),
@@ -126,8 +139,12 @@
 
 func (c *Core) placeTask(j *job, t *task, requests map[string][]Placement) bool {
 	step := &j.Steps[t.step]
+	if c.costOrder.isFull(j, step) {
+		return false
+	}
 	best, ok := c.bestCandidate(j, t, step)
 	if !ok {
+		c.costOrder.recordFull(j, t, step)
 		return false
 	}
 	c.placeOn(&best, t, false, requests)
@@ -261,6 +278,7 @@
 		objective, age := j.objective(), c.now-j.submittedAt
 		switch {
 		case j.ending, j.Stored:
+		case !j.started && c.costOrder != nil: // applyCostOrder
 		case !j.started && age >= j.StartTimeout():
 			c.answerJob(j, NotRun, "no room", retryAfter)
 			c.endJob(j)
@@ -269,6 +287,9 @@
 			c.endJob(j)
 		}
 	}
+	if c.costOrder != nil {
+		c.applyCostOrder()
+	}
 }
 
 func (c *Core) dequeue(j *job) {
