--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -16,24 +16,26 @@
 	"hawthornshore.example/platform"
 )
 
-type coordinatorCommand struct{}
+type coordinatorCommand struct {
+	QueueOrder string `enum:"cost,priority" default:"priority" help:"Order of waiting jobs while capacity is short: cost (least loss to callers) or priority (priority, then arrival)."`
+}
 
 // Run serves targets and operators until SIGTERM or SIGINT.
-func (*coordinatorCommand) Run(stopping stopSignal) error {
+func (command *coordinatorCommand) Run(stopping stopSignal) error {
 	p, err := startProcess("coordinator")
 	if err != nil {
 		return err
 	}
-	return p.shutdown(runCoordinator(p, stopping))
+	return p.shutdown(runCoordinator(p, placement.QueueOrder(command.QueueOrder), stopping))
 }
 
-func runCoordinator(p *process, stopping context.Context) error {
+func runCoordinator(p *process, order placement.QueueOrder, stopping context.Context) error {
 	s := &p.settings
 	linkListener, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.LinkPort)))
 	if err != nil {
 		return errors.Annotate(err, "listen for links")
 	}
-	coordinator := cluster.NewCoordinator(coordinatorOptions(p, linkListener))
+	coordinator := cluster.NewCoordinator(coordinatorOptions(p, order, linkListener))
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(running)
@@ -72,7 +74,7 @@
 	coordinator.Drain(ctx)
 }
 
-func coordinatorOptions(p *process, linkListener net.Listener) cluster.CoordinatorOptions {
+func coordinatorOptions(p *process, order placement.QueueOrder, linkListener net.Listener) cluster.CoordinatorOptions {
 	s := &p.settings
 	return cluster.CoordinatorOptions{
 		Name: s.IP, DataCentre: s.DataCentre, Listener: linkListener, LinkPort: s.LinkPort, Seeds: s.Seeds,
@@ -82,6 +84,7 @@
 		AllowBootstrap: s.FirstStart && slices.Contains(s.Seeds, s.IP),
 		Placement: placement.Options{
 			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(),
+			QueueOrder: order,
 		},
 		Targets: platform.NewTargetClient(),
 		Logger:  p.logger,
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -183,6 +183,9 @@
 	case placement.PollOrder:
 		go l.sendOrder(l.pollMetrics, func() placement.OrderResponse { return c.options.Targets.Poll(ctx, &e) })
 	case placement.AnswerJob:
+		if e.Outcome == placement.NotRun {
+			refusalCounter(e.Reason).Inc()
+		}
 		c.send(e.Caller.Gateway, &wire.Envelope{Body: &wire.Envelope_SubmissionAnswer{SubmissionAnswer: answerToWire(&e)}})
 	case placement.RequestPlacements:
 		c.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_PlacementRequest{PlacementRequest: placementsToWire(e.Placements)}})
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -47,6 +47,12 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_placement_decisions_total{event=%q}`, event))
 }
 
+// refusalCounter counts refusals by reason. The reasons are constants of placement and
+// queuepolicy.
+func refusalCounter(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_placement_refusals_total{reason=%q}`, reason))
+}
+
 // statusGauges publish the newest status of the core.
 type statusGauges struct {
 	jobs, queued, targets, usable, runs, freeMillis *metrics.Gauge
