--- a/placement/queueorder_test.go
+++ b/placement/queueorder_test.go
@@ -56,12 +56,8 @@
 }
 
 func newShortage(order placement.QueueOrder, seed uint64, cores int, classes []*loadClass) *shortage {
-	s := newSimulation(seed, 0, 0)
-	s.queueOrder, s.progress, s.sparseChecks = order, true, true
-	s.addCoordinators(cores)
-	for i := range shortageTargets {
-		s.addTarget(i)
-	}
+	s := newOrderedSimulation(order, seed, cores, shortageTargets)
+	s.progress, s.sparseChecks = true, true
 	l := &shortage{
 		simulation: s, classes: classes, works: map[string]time.Duration{},
 		jobClass: map[string]int{}, wide: map[string]bool{}, sent: map[string]time.Duration{},
@@ -227,6 +223,10 @@
 // sumTolerance is the spread of the work in time between seeds of one order.
 const sumTolerance = 0.03
 
+// leastGain is what the class that the priority order serves least gains at least: more
+// than the spread between seeds.
+const leastGain = 0.05
+
 var _ = Describe("the cost order", func() {
 	upwards, downwards := []int{0, 1, 2}, []int{2, 1, 0}
 
@@ -235,7 +235,7 @@
 	DescribeTable("serves each class and its wide jobs in proportion, and as much in all",
 		func(cores int, priorities []int, shares []float64, before func(*shortage)) {
 			priority, cost := playBoth(cores, func() []*loadClass { return loads(priorities, shares...) }, before)
-			Expect(cost.least()).To(BeNumerically(">=", priority.least()-sumTolerance))
+			Expect(cost.least()).To(BeNumerically(">", priority.least()+leastGain))
 			Expect(cost.workInTime()).To(BeNumerically(">=", priority.workInTime()-sumTolerance))
 			for i, r := range cost.results {
 				Expect(r.wideShare()).To(BeNumerically(">=", r.share()/2), "wide jobs of class %d", i)
--- a/placement/schedules_test.go
+++ b/placement/schedules_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/placement"
 )
 
 func TestPlacement(t *testing.T) {
@@ -55,6 +57,7 @@
 		failureRate  float64
 		lossRate     float64
 		storedShare  float64
+		order        placement.QueueOrder
 		injectFaults func(*simulation)
 		seeds        []uint64 // that have failed once, run each time
 	}{
@@ -191,6 +194,11 @@
 			s.after(4*time.Second, func() { t.partitioned = false })
 		}},
 	}
+	for _, name := range []string{"overload", "everything at once"} {
+		entry := entries[name]
+		entry.order, entry.storedShare = placement.CostOrder, 0.3
+		entries[name+", cost order"] = entry
+	}
 	for name, entry := range entries {
 		It(name, func() {
 			first, count := seedRange()
@@ -200,7 +208,7 @@
 			}
 			completed := 0
 			for _, seed := range seeds {
-				s := newSimulation(seed, 3, 12)
+				s := newOrderedSimulation(entry.order, seed, 3, 12)
 				s.failureRate, s.lossRate, s.storedShare = entry.failureRate, entry.lossRate, entry.storedShare
 				runSchedule(s, entry.perSecond, entry.injectFaults)
 				expectInvariants(s, seed)
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -112,7 +112,12 @@
 }
 
 func newSimulation(seed uint64, cores, targets int) *simulation {
+	return newOrderedSimulation(placement.PriorityOrder, seed, cores, targets)
+}
+
+func newOrderedSimulation(order placement.QueueOrder, seed uint64, cores, targets int) *simulation {
 	s := &simulation{
+		queueOrder: order,
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		now:        time.Hour,
 		answers:    map[placement.Caller]int{},
