Predict waits from the home's running tasks alone

Cause: what is left on many targets adds up to much free capacity that no waiting job fits, so that the backlog's time would be predicted too short.

Change: the wait divides by the CPU of the home's running tasks only; a job whose wait is predicted has been tried and fits no target.

--- a/placement/queueorder.go
+++ b/placement/queueorder.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// readCapacity sets the capacity of each service: what is free anywhere, and the
-// expected ends of the tasks whose home is here.
+// readCapacity sets the capacity of each service: the expected ends of the tasks whose
+// home is here.
 func (c *Core) readCapacity() {
 	clear(c.costOrder.capacity)
 	of := func(service string) *queuepolicy.Capacity {
@@ -152,16 +152,6 @@
 		capacity := of(t.job.Service)
 		capacity.Ends = append(capacity.Ends, queuepolicy.End{After: max(t.placedAt+c.expectedTime(t.job, step)-c.now, 0), CPU: step.Need.CPUMillis})
 	}
-	for _, t := range c.targets {
-		if t.usable(c.now) {
-			of(t.Service).Free += t.free().CPUMillis
-		}
-	}
-	for _, p := range c.peers {
-		for i := range p.targets {
-			of(p.targets[i].Service).Free += p.targets[i].Free.CPUMillis
-		}
-	}
 	for _, capacity := range c.costOrder.capacity {
 		queuepolicy.SortEnds(capacity.Ends)
 	}
--- a/placement/queuepolicy/refuse.go
+++ b/placement/queuepolicy/refuse.go
@@ -24,9 +24,9 @@
 	maxRetrySpread = 3 * time.Second
 )
 
-// Capacity is the capacity of a pool as this home sees it.
+// Capacity is the capacity of a pool as this home sees it. Free capacity is not part of
+// it: a job that was tried fits none, and what is left on many targets adds up to much.
 type Capacity struct {
-	Free int64 // CPU that is offered now
 	Ends []End // expected ends of the running tasks whose home is here, by time
 }
 
@@ -76,7 +76,6 @@
 // poolState is a pool's state during one call of Refuse.
 type poolState struct {
 	held  float64 // this home's part of the capacity, as CPU
-	free  float64
 	ahead float64 // work before the present job
 	total float64 // work of all waiting jobs
 	// inTime is the number of waiting jobs without a start that can meet their
@@ -115,7 +114,7 @@
 			s = &poolState{}
 			states[j.Pool] = s
 			if c := capacity[j.Pool]; c != nil {
-				s.held, s.free = p.pool(j.Pool).hold(now, float64(c.held())), float64(c.Free)
+				s.held = p.pool(j.Pool).hold(now, float64(c.held()))
 			}
 		}
 		s.total += float64(j.Work)
@@ -140,10 +139,10 @@
 // A home with k cores in use completes k core-seconds a second, whatever the lengths
 // of its tasks.
 func (s *poolState) wait(work float64) time.Duration {
-	if s.held+s.free <= 0 {
+	if s.held <= 0 {
 		return math.MaxInt64 / 4
 	}
-	return time.Duration(work / (s.held + s.free) * float64(time.Millisecond))
+	return time.Duration(work / s.held * float64(time.Millisecond))
 }
 
 // reason returns why a job is refused, or "".
@@ -154,11 +153,11 @@
 	case j.Age >= j.Objective:
 		return ReasonNoCapacity
 	case j.late(0):
-		if s.inTime > 0 || s.held+s.free <= 0 {
+		if s.inTime > 0 || s.held <= 0 {
 			return ReasonNoCapacity
 		}
 		return ""
-	case !j.Restricted && s.held+s.free > 0 && j.late(s.wait(s.ahead)):
+	case !j.Restricted && s.held > 0 && j.late(s.wait(s.ahead)):
 		return ReasonBacklog
 	}
 	return ""
