Start steps beside free capacity as in priority order

Cause: mayStart compared the missing CPU of a step with the CPU that comes free on any target, whatever the limit for each target, the labels, and the capacity that other homes' tasks hold. One unrelated long task was enough to keep a job waiting beside nearly idle targets.

Ruled out: counting the CPU that comes free by label and target. The ends of other homes' tasks are unknown to a home.

Change: the guard applies to steps without requirement and without limit for each target, of which less than half has capacity now, and only while the home's own tasks hold the missing part. A step that found no target in the pass is not counted again. The set of services placed in a pass had no effect and is gone.

--- a/placement/queueorder.go
+++ b/placement/queueorder.go
@@ -34,8 +34,6 @@
 	full map[placementKind]Resources
 	// owed is the CPU that tasks of started jobs still wait for, by service.
 	owed map[string]int64
-	// placed has the services of which a job was placed.
-	placed map[string]bool
 }
 
 type placementKind struct{ service, requirement string }
@@ -46,7 +44,7 @@
 	}
 	return &costOrder{
 		policy: queuepolicy.New(), capacity: map[string]*queuepolicy.Capacity{},
-		pass: schedulingPass{full: map[placementKind]Resources{}, owed: map[string]int64{}, placed: map[string]bool{}},
+		pass: schedulingPass{full: map[placementKind]Resources{}, owed: map[string]int64{}},
 	}
 }
 
@@ -107,7 +105,6 @@
 // jobStarted counts the first start of a job.
 func (c *Core) jobStarted(j *job) {
 	if c.costOrder != nil {
-		c.costOrder.pass.placed[j.Service] = true
 		p := c.policyJob(j)
 		c.costOrder.policy.Started(c.now, &p)
 		j.rank = c.costOrder.policy.Rank(c.now, &p)
@@ -162,7 +159,6 @@
 	if o != nil {
 		clear(o.pass.full)
 		clear(o.pass.owed)
-		clear(o.pass.placed)
 	}
 }
 
@@ -186,24 +182,33 @@
 	}
 }
 
-// mayStart reports whether a job whose first task would start now gets the rest of its
-// step in time: capacity that is free now, or that comes free by the expected ends and
-// is not owed to jobs that have started. With nothing in progress the job may start in any
-// case: a step that exceeds all targets would never start otherwise. So may stored jobs,
-// which have no time limit.
-func (c *Core) mayStart(j *job, step int) bool {
-	count, need := len(j.tasks[step]), j.Steps[step].Need.CPUMillis
-	if c.costOrder == nil || j.started || j.Stored || count <= 1 || need <= 0 {
+// mayStart reports whether a job whose first task would start now gets enough of its step
+// in time: half of the step has capacity now, or the rest has capacity that comes free by
+// the expected ends and is not owed to jobs that have started. A requirement and a limit
+// for each target make this unpredictable from the CPU alone. So do other homes' tasks,
+// whose ends are unknown: if this home's tasks hold less than the missing part, the job
+// starts as in the priority order. Stored jobs have no time limit.
+func (c *Core) mayStart(j *job, index int) bool {
+	step := &j.Steps[index]
+	count, need := len(j.tasks[index]), step.Need.CPUMillis
+	if c.costOrder == nil || j.started || j.Stored || count <= 1 || need <= 0 || step.Requirement != "" || step.PerTarget > 0 {
 		return true
 	}
-	fits := c.countFits(j, &j.Steps[step], count)
+	if c.costOrder.isFull(j, step) {
+		return false
+	}
 	capacity := c.costOrder.capacity[j.Service]
-	if fits >= count || capacity == nil || len(capacity.Ends) == 0 && !c.costOrder.pass.placed[j.Service] {
+	if capacity == nil {
+		return true
+	}
+	fits := c.countFits(j, step, count)
+	missing := int64(count - fits)
+	if 2*fits >= count || capacity.Held()/need < missing {
 		return true
 	}
 	p := c.policyJob(j)
 	freed := capacity.FreedWithin(p.Slack()) - c.costOrder.pass.owed[j.Service]
-	return freed >= int64(count-fits)*need
+	return freed/need >= missing
 }
 
 // countFits returns how many tasks of a step have capacity now, at most limit.
--- a/placement/queuepolicy/refuse.go
+++ b/placement/queuepolicy/refuse.go
@@ -41,8 +41,8 @@
 	slices.SortFunc(ends, func(a, b End) int { return int(a.After - b.After) })
 }
 
-// held returns the CPU that the home's running tasks have.
-func (c *Capacity) held() int64 {
+// Held returns the CPU that the home's running tasks have.
+func (c *Capacity) Held() int64 {
 	var sum int64
 	for i := range c.Ends {
 		sum += c.Ends[i].CPU
@@ -114,7 +114,7 @@
 			s = &poolState{}
 			states[j.Pool] = s
 			if c := capacity[j.Pool]; c != nil {
-				s.held = p.pool(j.Pool).hold(now, float64(c.held()))
+				s.held = p.pool(j.Pool).hold(now, float64(c.Held()))
 			}
 		}
 		s.total += float64(j.Work)
