Start late stored jobs by arrival under a lasting overload

Cause: a stored job waited in the band of its class, where narrow fresh jobs are worth more. Nothing refuses it, so it waited as long as the overload lasted.

Ruled out: the band of classes below their floor itself. A large number of stored jobs would then displace the other classes from their floors.

Change: a stored job older than its objective goes to a band of its own directly after that one, ordered by arrival.

--- a/placement/queuepolicy/policy.go
+++ b/placement/queuepolicy/policy.go
@@ -171,6 +171,7 @@
 	bandStarted     band = iota // work spent is lost otherwise
 	bandStartedLate             // likewise; callers treat an abort as a failure
 	bandBelowFloor              // the class, or its wide jobs, have less than their floor
+	bandStoredLate              // stored jobs beyond their objective, by arrival
 	bandInTime
 	bandLate // late but useful
 )
@@ -179,7 +180,7 @@
 type Rank struct {
 	band     band
 	priority int
-	worth    float64 // expected worth of a start now, per unit of work
+	worth    float64 // expected worth of a start now, per unit of work; of bandStoredLate the age
 }
 
 // Compare orders the job to serve first before the others.
@@ -201,6 +202,9 @@
 		r.band = bandLate
 	case p.belowFloor(now, in, c, j):
 		r.band = bandBelowFloor
+	case j.Stored && j.Age > j.Objective:
+		// Under a lasting overload fresh jobs would always come first.
+		return Rank{band: bandStoredLate, worth: j.Age.Seconds()}
 	}
 	return r
 }
--- a/placement/queuepolicy/policy_test.go
+++ b/placement/queuepolicy/policy_test.go
@@ -81,6 +81,18 @@
 			To(Equal([]string{"other", "urgent"}))
 	})
 
+	// Guards against stored jobs that fresh ones pass over without end, and against stored
+	// jobs that displace classes below their floor.
+	It("has stored jobs beyond their objective by arrival, after classes below their floor", func() {
+		p := queuepolicy.New()
+		serve(p, "urgent", 4, 100, 95)
+		serve(p, "other", 4, 100, 50)
+		older, newer := waitingJob("older", "urgent", 2, 8, 2*time.Second), waitingJob("newer", "urgent", 0, 2, time.Second)
+		older.Stored, newer.Stored = true, true
+		Expect(order(p, waitingJob("fresh", "urgent", 0, 2, 0), newer, older, waitingJob("floor", "other", 2, 4, 0))).
+			To(Equal([]string{"floor", "older", "newer", "fresh"}))
+	})
+
 	// Guards against a burst of a class that raises its floor at the expense of the others.
 	It("serves a class at its usual load before one in a burst, whatever was refused of the burst", func() {
 		p := queuepolicy.New()
