Count only work that may start now as backlog

Cause: the backlog ahead of a job contained all waiting tasks, also those that no target can run, that wait for a delay or the log, and those of stored jobs without a valid home lease. One such stored job led to refusals of others. The product of need and expected time could overflow.

Ruled out: leaving such jobs out of the order; they have to start as soon as they can.

Change: the policy gets the part of a job's work that may start now, and counts only this as backlog; a job with a step that exceeds every known target has none and does not count as a job in time. A task's work and the backlog's time are bounded. The CPU owed to started jobs counts only tasks that may start now. Of other homes' targets only the free capacity is known; what fits none of it does not count, which refuses less.

--- a/placement/queueorder.go
+++ b/placement/queueorder.go
@@ -25,6 +25,8 @@
 	// capacity of each service, as of the last tick.
 	capacity map[string]*queuepolicy.Capacity
 	pass     schedulingPass
+	// fitsSome tells which needs fit a target, as of the last tick.
+	fitsSome map[placementNeed]bool
 }
 
 // schedulingPass is the state of one scheduling pass.
@@ -38,12 +40,17 @@
 
 type placementKind struct{ service, requirement string }
 
+type placementNeed struct {
+	placementKind
+	need Resources
+}
+
 func newCostOrder(o QueueOrder) *costOrder {
 	if o != CostOrder {
 		return nil
 	}
 	return &costOrder{
-		policy: queuepolicy.New(), capacity: map[string]*queuepolicy.Capacity{},
+		policy: queuepolicy.New(), capacity: map[string]*queuepolicy.Capacity{}, fitsSome: map[placementNeed]bool{},
 		pass: schedulingPass{full: map[placementKind]Resources{}, owed: map[string]int64{}},
 	}
 }
@@ -69,14 +76,18 @@
 		expected := c.expectedTime(j, step)
 		p.Width = max(p.Width, step.Count)
 		p.Restricted = p.Restricted || step.Requirement != ""
-		waits := 0
+		waits, ready := 0, 0
 		for _, t := range j.tasks[i] {
 			if t.state == waiting {
 				waits++
 			}
+			if c.mayStartNow(t) {
+				ready++
+			}
 		}
-		work := step.Need.CPUMillis * expected.Milliseconds()
+		work := taskWork(step.Need.CPUMillis, expected)
 		p.Work += int64(waits) * work
+		p.Ready += int64(ready) * work
 		p.Spent += int64(step.Count-waits) * work
 		for _, earlier := range step.After {
 			ends[i] = max(ends[i], ends[earlier])
@@ -89,6 +100,54 @@
 	return p
 }
 
+// maxTaskWork bounds the work of a task, so that the sum over the tasks of a job does not
+// overflow. It is more than 3,000 cores for a day.
+const maxTaskWork = 1 << 48
+
+// taskWork returns the work of a task: thousandths of a core times ms.
+func taskWork(cpuMillis int64, expected time.Duration) int64 {
+	ms := expected.Milliseconds()
+	if ms > 0 && cpuMillis > maxTaskWork/ms {
+		return maxTaskWork
+	}
+	return cpuMillis * ms
+}
+
+// mayStartNow reports whether a waiting task would be started if it had capacity. Tasks
+// of later steps count: they follow within the job's time.
+func (c *Core) mayStartNow(t *task) bool {
+	return t.state == waiting && c.now >= t.notBefore && !t.mayBeDone && !t.convicted &&
+		!t.job.ending && (!t.job.Stored || c.homeLeaseValid())
+}
+
+// fitsSomeTarget reports whether a task of a step fits a target of its service. Of other
+// homes' targets only the free capacity is known.
+func (c *Core) fitsSomeTarget(j *job, step *Step) bool {
+	key := placementNeed{placementKind{j.Service, step.Requirement}, step.Need}
+	fits, known := c.costOrder.fitsSome[key]
+	if !known {
+		fits = c.findFitting(j, step)
+		c.costOrder.fitsSome[key] = fits
+	}
+	return fits
+}
+
+func (c *Core) findFitting(j *job, step *Step) bool {
+	for _, t := range c.targets {
+		if t.Service == j.Service && step.Need.Fits(t.Capacity) && matches(t.Labels, step.Requirement) {
+			return true
+		}
+	}
+	for _, p := range c.peers {
+		for i := range p.targets {
+			if remote := &p.targets[i]; remote.Service == j.Service && step.Need.Fits(remote.Free) && matches(remote.Labels, step.Requirement) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // offerJob counts a new job and gives it a place in the order.
 func (c *Core) offerJob(j *job) {
 	if c.costOrder == nil {
@@ -115,8 +174,14 @@
 func (c *Core) applyCostOrder() {
 	c.readCapacity()
 	order := c.costOrder
+	clear(order.fitsSome)
 	for _, j := range c.queue {
 		j.view = c.policyJob(j)
+		for i := range j.Steps {
+			if !c.fitsSomeTarget(j, &j.Steps[i]) {
+				j.view.Ready = 0 // no target can run the job
+			}
+		}
 		j.rank = order.policy.Rank(c.now, &j.view)
 	}
 	c.sortQueue()
@@ -248,7 +313,7 @@
 			continue
 		}
 		for _, t := range j.tasks[step] {
-			if t.state == waiting {
+			if c.mayStartNow(t) {
 				c.costOrder.pass.owed[j.Service] += j.Steps[step].Need.CPUMillis
 			}
 		}
--- a/placement/queueorder_stored_test.go
+++ b/placement/queueorder_stored_test.go
@@ -47,4 +47,28 @@
 			Expect(firstStart[id]-at).To(BeNumerically("<", objective[id]+500*time.Millisecond), "class %d", l.jobClass[id])
 		}
 	})
+
+	// Guards against refusals because of work that never starts or cannot start now, and
+	// against a backlog that overflows.
+	DescribeTable("refuses no job because of a stored one that cannot run",
+		func(step placement.Step, confirmed bool) {
+			h := newHarnessWith(placement.CostOrder)
+			h.acquire("t")
+			h.runLong(14000, 2)
+			if confirmed {
+				h.step(0, placement.LogReadConfirmed{StartedAt: h.now})
+			}
+			for id, queue := range map[string]string{"00000000000000aa": "q", "00000000000000ab": "other"} {
+				stored := storedShortageJob(id)
+				stored.Queue, stored.Steps = queue, []placement.Step{step}
+				h.step(0, placement.StoredJobChanged{Job: stored, Home: "c0/1", Tasks: [][]placement.TaskProgress{make([]placement.TaskProgress, step.Count)}})
+			}
+			h.submitStep(2, placement.Step{Count: 2, Need: placement.Resources{CPUMillis: 14000}, Expected: 200 * time.Millisecond})
+			h.step(placement.TickInterval, placement.Tick{})
+			Expect(take[placement.AnswerJob](h)).To(BeEmpty())
+		},
+		Entry("because its need exceeds all targets", placement.Step{Count: 20, Need: placement.Resources{CPUMillis: 64000}, Expected: time.Minute}, true),
+		Entry("because its need exceeds all machines", placement.Step{Count: 20, Need: placement.Resources{CPUMillis: 1 << 40}, Expected: time.Hour}, true),
+		Entry("because the log is not confirmed", placement.Step{Count: 20, Need: placement.Resources{CPUMillis: 14000}, Expected: time.Minute}, false),
+	)
 })
--- a/placement/queuepolicy/policy.go
+++ b/placement/queuepolicy/policy.go
@@ -56,8 +56,10 @@
 	Path      time.Duration // expected time from the next start to the end of the job
 	Work      int64         // CPU time of the tasks that have not started: thousandths of a core times ms
 	Spent     int64         // likewise, of those that have
-	Started   bool
-	Stored    bool // is never refused
+	// Ready is the part of Work that may start now. Only this is ahead of other jobs.
+	Ready   int64
+	Started bool
+	Stored  bool // is never refused
 	// Restricted means that only some targets of the pool may run the job. The wait of
 	// such a job cannot be predicted from the pool.
 	Restricted bool
--- a/placement/queuepolicy/policy_test.go
+++ b/placement/queuepolicy/policy_test.go
@@ -28,7 +28,7 @@
 	return &queuepolicy.Job{
 		ID: id, Pool: "desk", Class: class, Priority: priority, Width: width, Age: age,
 		Objective: 380 * time.Millisecond, Useful: 1140 * time.Millisecond, Path: task,
-		Work: int64(width) * core * task.Milliseconds(), Tried: true,
+		Work: int64(width) * core * task.Milliseconds(), Ready: int64(width) * core * task.Milliseconds(), Tried: true,
 	}
 }
 
--- a/placement/queuepolicy/refuse.go
+++ b/placement/queuepolicy/refuse.go
@@ -24,6 +24,9 @@
 	maxRetrySpread = 3 * time.Second
 )
 
+// maxBacklog bounds the time of a backlog, so that sums with it are within a Duration.
+const maxBacklog = time.Duration(math.MaxInt64 / 4)
+
 // Capacity is the capacity of a pool as this home sees it. Free capacity is not part of
 // it: a job that was tried fits none, and what is left on many targets adds up to much.
 type Capacity struct {
@@ -93,7 +96,7 @@
 		reason := s.reason(j)
 		if reason == "" {
 			if !j.Restricted {
-				s.ahead += float64(j.Work)
+				s.ahead += float64(j.Ready)
 			}
 			continue
 		}
@@ -117,8 +120,8 @@
 				s.held = p.pool(j.Pool).hold(now, float64(c.Held()))
 			}
 		}
-		s.total += float64(j.Work)
-		if !j.Started && !j.late(0) {
+		s.total += float64(j.Ready)
+		if !j.Started && j.Ready > 0 && !j.late(0) {
 			s.inTime++
 		}
 	}
@@ -140,9 +143,9 @@
 // of its tasks.
 func (s *poolState) wait(work float64) time.Duration {
 	if s.held <= 0 {
-		return math.MaxInt64 / 4
+		return maxBacklog
 	}
-	return time.Duration(work / s.held * float64(time.Millisecond))
+	return time.Duration(min(work/s.held*float64(time.Millisecond), float64(maxBacklog)))
 }
 
 // reason returns why a job is refused, or "".
