Count free capacity once in a scheduling pass

Cause: each waiting job counted over all targets how many tasks of its step have capacity, and asked each target whether it is usable, which walks its runs.

Ruled out: an index of the targets by free capacity.

Change: countFits tests the free capacity first, and keeps its counts by service, requirement, need and limit for each target until a task is placed.

--- a/placement/queueorder.go
+++ b/placement/queueorder.go
@@ -34,6 +34,8 @@
 	// full has the least need of each kind that found no target. During a pass
 	// capacity only decreases.
 	full map[placementKind]Resources
+	// fits has how many tasks of a kind have capacity, at most fitsLimit.
+	fits map[fitsKey]fitsCount
 	// owed is the CPU that tasks of started jobs still wait for, by service.
 	owed map[string]int64
 }
@@ -45,13 +47,21 @@
 	need Resources
 }
 
+type fitsKey struct {
+	placementNeed
+	perTarget int
+}
+
+// fitsCount is a count of the tasks that have capacity; it stopped at the limit.
+type fitsCount struct{ count, limit int }
+
 func newCostOrder(o QueueOrder) *costOrder {
 	if o != CostOrder {
 		return nil
 	}
 	return &costOrder{
 		policy: queuepolicy.New(), capacity: map[string]*queuepolicy.Capacity{}, fitsSome: map[placementNeed]bool{},
-		pass: schedulingPass{full: map[placementKind]Resources{}, owed: map[string]int64{}},
+		pass: schedulingPass{full: map[placementKind]Resources{}, fits: map[fitsKey]fitsCount{}, owed: map[string]int64{}},
 	}
 }
 
@@ -223,6 +233,7 @@
 func (o *costOrder) beginPass() {
 	if o != nil {
 		clear(o.pass.full)
+		clear(o.pass.fits)
 		clear(o.pass.owed)
 	}
 }
@@ -276,18 +287,30 @@
 	return freed/need >= missing
 }
 
-// countFits returns how many tasks of a step have capacity now, at most limit.
+// countFits returns how many tasks of a step have capacity now, at most limit. Counts are
+// kept until a task is placed.
 func (c *Core) countFits(j *job, step *Step, limit int) int {
+	key := fitsKey{placementNeed{placementKind{j.Service, step.Requirement}, step.Need}, step.PerTarget}
+	known, found := c.costOrder.pass.fits[key]
+	if !found || known.count >= known.limit && known.limit < limit {
+		known = fitsCount{c.countFitsOf(key, limit), limit}
+		c.costOrder.pass.fits[key] = known
+	}
+	return min(known.count, limit)
+}
+
+func (c *Core) countFitsOf(key fitsKey, limit int) int {
 	count := 0
 	add := func(free Resources) {
-		for on := 0; count < limit && step.Need.Fits(free) && (step.PerTarget == 0 || on < step.PerTarget); on++ {
-			free = free.Sub(step.Need)
+		for on := 0; count < limit && key.need.Fits(free) && (key.perTarget == 0 || on < key.perTarget); on++ {
+			free = free.Sub(key.need)
 			count++
 		}
 	}
 	for _, t := range c.targets {
-		if t.Service == j.Service && matches(t.Labels, step.Requirement) && t.usable(c.now) {
-			add(t.free())
+		// Most targets are full, and Fits costs least.
+		if free := t.free(); count < limit && key.need.Fits(free) && t.Service == key.service && matches(t.Labels, key.requirement) && t.usable(c.now) {
+			add(free)
 		}
 	}
 	for _, p := range c.peers {
@@ -295,7 +318,7 @@
 			continue
 		}
 		for i := range p.targets {
-			if remote := &p.targets[i]; remote.Service == j.Service && matches(remote.Labels, step.Requirement) {
+			if remote := &p.targets[i]; count < limit && key.need.Fits(remote.Free) && remote.Service == key.service && matches(remote.Labels, key.requirement) {
 				add(remote.Free)
 			}
 		}
@@ -303,6 +326,13 @@
 	return count
 }
 
+// capacityTaken discards the counts of tasks that have capacity.
+func (o *costOrder) capacityTaken() {
+	if o != nil {
+		clear(o.pass.fits)
+	}
+}
+
 // recordOwed records what the ready tasks of a started job still wait for.
 func (c *Core) recordOwed(j *job) {
 	if c.costOrder == nil || !j.started {
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -154,6 +154,7 @@
 // placeOn starts a task on a target, or requests this of its owner.
 func (c *Core) placeOn(best *candidate, t *task, alone bool, requests map[string][]Placement) {
 	j, step := t.job, &t.job.Steps[t.step]
+	c.costOrder.capacityTaken()
 	c.lastRef++
 	t.ref, t.runs, t.state, t.placedAt = c.lastRef, t.runs+1, starting, c.now
 	t.trial = alone
