Keep late jobs that are useful while no job in time waits

Cause: a job was refused at its objective although nothing in time waited for the capacity, and a late one also if none of the home's tasks had run lately. A job that could not end by its last useful moment waited for its objective.

Ruled out: dropping the limit at the objective alone. Without any usable target a job would wait for three times its objective.

Change: a job is refused at once if it cannot end by its last useful moment, and if it would be late while a job in time that could start waits. Without a usable target of its service it is refused at the start timeout of the priority order.

--- a/placement/queueorder.go
+++ b/placement/queueorder.go
@@ -205,6 +205,41 @@
 		c.answerJob(j, NotRun, refusal.Reason, refusal.RetryAfter)
 		c.endJob(j)
 	}
+	c.refuseWithoutTargets(queue)
+}
+
+// refuseWithoutTargets refuses jobs that have waited for their start timeout while no
+// target of their service may get starts. Other coordinators may have some.
+func (c *Core) refuseWithoutTargets(queue []*job) {
+	usable := map[string]bool{}
+	for _, j := range queue {
+		if j.ending || j.started || j.Stored || c.now-j.submittedAt < j.StartTimeout() {
+			continue
+		}
+		found, known := usable[j.Service]
+		if !known {
+			found = c.hasUsableTarget(j.Service)
+			usable[j.Service] = found
+		}
+		if !found {
+			c.answerJob(j, NotRun, queuepolicy.ReasonNoCapacity, queuepolicy.RetryAfter(j.ID, 0))
+			c.endJob(j)
+		}
+	}
+}
+
+func (c *Core) hasUsableTarget(service string) bool {
+	for _, t := range c.targets {
+		if t.Service == service && t.usable(c.now) {
+			return true
+		}
+	}
+	for _, p := range c.peers {
+		if !p.silent && slices.ContainsFunc(p.targets, func(t AvailableTarget) bool { return t.Service == service }) {
+			return true
+		}
+	}
+	return false
 }
 
 // readCapacity sets the capacity of each service: the expected ends of the tasks whose
--- a/placement/queueorder_start_test.go
+++ b/placement/queueorder_start_test.go
@@ -65,4 +65,33 @@
 		Entry("while the home's own tasks hold less than the missing part", map[string]int64{"t": 9000}, "", int64(1000),
 			placement.Step{Count: 8, Need: placement.Resources{CPUMillis: 4000}}, 2),
 	)
+
+	// Guards against a job that waits for its last useful moment although nothing can run it.
+	It("refuses a job at its start timeout if its service has no usable target", func() {
+		h := newHarnessWith(placement.CostOrder)
+		h.submit("0000000000000001", 2, 1)
+		submitted := job("0000000000000001", 2)
+		h.step(submitted.StartTimeout()-time.Millisecond, placement.Tick{})
+		Expect(take[placement.AnswerJob](h)).To(BeEmpty())
+		h.step(time.Millisecond, placement.Tick{})
+		Expect(take[placement.AnswerJob](h)).To(HaveExactElements(And(
+			HaveField("Outcome", placement.NotRun), HaveField("RetryAfter", BeNumerically(">=", time.Second)))))
+	})
+
+	// Guards against a late job that is refused although no job in time waits, and against one
+	// that waits beyond any use.
+	It("keeps a late job until its last useful moment", func() {
+		h := newHarnessWith(placement.CostOrder)
+		h.acquire("t")
+		h.runLong(14000, 2)
+		h.submit("0000000000000002", 1, 2)
+		for range 25 { // the objective is 380 ms
+			h.step(placement.TickInterval, placement.Tick{})
+		}
+		Expect(take[placement.AnswerJob](h)).To(BeEmpty())
+		for range 25 {
+			h.step(placement.TickInterval, placement.Tick{})
+		}
+		Expect(take[placement.AnswerJob](h)).To(ContainElement(HaveField("JobID", "0000000000000002")), "its last useful moment has passed")
+	})
 })
--- a/placement/queuepolicy/refuse.go
+++ b/placement/queuepolicy/refuse.go
@@ -10,7 +10,7 @@
 // Reasons of refusals.
 const (
 	// ReasonNoCapacity means that no capacity came free by the latest start that meets
-	// the objective.
+	// the objective while others wait that can meet theirs, or by the latest useful start.
 	ReasonNoCapacity = "no_capacity_in_time"
 	// ReasonBacklog means that the work ahead takes longer than that.
 	ReasonBacklog = "backlog_exceeds_objective"
@@ -148,15 +148,24 @@
 	return time.Duration(min(work/s.held*float64(time.Millisecond), float64(maxBacklog)))
 }
 
+// tooLate reports whether a job that starts now ends after its last useful moment by the
+// expected run times.
+func (j *Job) tooLate() bool {
+	if j.Useful <= 0 {
+		return j.Age >= j.Objective
+	}
+	return j.Age+j.Path > j.Useful
+}
+
 // reason returns why a job is refused, or "".
 func (s *poolState) reason(j *Job) string {
 	switch {
 	case j.Started || j.Stored || !j.Tried:
 		return ""
-	case j.Age >= j.Objective:
+	case j.tooLate():
 		return ReasonNoCapacity
 	case j.late(0):
-		if s.inTime > 0 || s.held <= 0 {
+		if s.inTime > 0 {
 			return ReasonNoCapacity
 		}
 		return ""
