Count first starts by trials in the shares of a class

Cause: jobStarted was called by place only. A job whose first start is a trial of a suspect counted as offered but never as served.

Ruled out: a second call in placeTrial; placeOn is the one place that starts tasks.

Change: placeOn calls jobStarted at a job's first start.

No spec shows the count of a trial: the policy of a core is not visible to its tests.

--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -78,7 +78,6 @@
 		return
 	}
 	var placed []string
-	wasStarted := j.started
 	j.tried = true
 	for step := range j.tasks {
 		if !j.stepReady(step) || !c.mayStart(j, step) {
@@ -104,9 +103,6 @@
 			placed = append(placed, t.location())
 		}
 	}
-	if j.started && !wasStarted {
-		c.jobStarted(j)
-	}
 	c.recordOwed(j)
 	if len(placed) > 0 {
 		c.logDecision(Decision{
@@ -160,7 +156,10 @@
 	t.trial = alone
 	c.placements[t.ref] = t
 	j.inFlight++
-	j.started = true
+	if !j.started {
+		j.started = true
+		c.jobStarted(j)
+	}
 	if best.target != nil {
 		t.target = best.target.ID
 		c.startRun(best.target, &run{
