--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -18,7 +18,8 @@
 )
 
 type coordinatorCommand struct {
-	TargetSpeeds bool `help:"Let placements depend on the learned speeds of targets."`
+	TargetSpeeds bool   `help:"Let placements depend on the learned speeds of targets."`
+	QueueOrder   string `enum:"cost,priority" default:"priority" help:"Order of waiting jobs while capacity is short: cost (least loss to callers) or priority (priority, then arrival)."`
 }
 
 // Run serves targets and operators until SIGTERM or SIGINT.
@@ -89,6 +90,7 @@
 		Placement: placement.Options{
 			Name: s.IP, Lease: s.LongestLease, StopTime: s.StopTime, UnixMS: time.Now().UnixMilli(), Cold: s.Cold,
 			TargetSpeeds: c.TargetSpeeds,
+			QueueOrder:   placement.QueueOrder(c.QueueOrder),
 		},
 		Evacuation: cluster.EvacuationOptions{Bound: s.EvacuationBound, DataCentres: s.DataCentres},
 		Targets:    platform.NewTargetClient(),
--- a/placement/core.go
+++ b/placement/core.go
@@ -37,6 +37,7 @@
 	queue      []*job           // jobs with waiting tasks, in scheduling order
 	placements map[uint64]*task // tasks with a placement, by ref
 	lastRef    uint64
+	costOrder  *costOrder // nil: PriorityOrder
 
 	restored        []Description
 	adoptRestoredAt time.Duration
@@ -68,6 +69,7 @@
 	lastExpiry        time.Duration
 	availabilityDirty bool // available targets have changed since the last Ready
 	scheduleDue       bool
+	keptForOthers     bool // the last search left capacity to other homes
 	effects           []Effect
 }
 
@@ -94,6 +96,7 @@
 		handOvers:     map[string][]sentHandOver{},
 		remembered:    map[string]rememberedLosses{},
 		cancelled:     cancelledIDs{at: map[string]time.Duration{}},
+		costOrder:     newCostOrder(options.QueueOrder),
 	}
 }
 
--- a/placement/options.go
+++ b/placement/options.go
@@ -22,6 +22,8 @@
 	UnixMS int64
 	// TargetSpeeds makes placements depend on the learned speeds of targets.
 	TargetSpeeds bool
+	// QueueOrder is the order in which waiting jobs get capacity.
+	QueueOrder QueueOrder
 }
 
 const (
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -31,6 +31,7 @@
 	}
 	c.scheduleDue = false
 	c.sortQueue()
+	c.costOrder.beginPass()
 	requests := map[string][]Placement{}
 	for _, j := range c.queue {
 		c.place(j, requests)
@@ -47,6 +48,12 @@
 }
 
 func (c *Core) sortQueue() {
+	if c.costOrder != nil {
+		slices.SortStableFunc(c.queue, func(a, b *job) int {
+			return cmp.Or(a.rank.Compare(b.rank), cmp.Compare(a.submittedAt, b.submittedAt))
+		})
+		return
+	}
 	slices.SortStableFunc(c.queue, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.submittedAt, b.submittedAt))
 	})
@@ -72,8 +79,9 @@
 		return
 	}
 	var placed []string
+	j.tried = true
 	for step := range j.tasks {
-		if !j.stepReady(step) {
+		if !j.stepReady(step) || !c.mayStart(j, step) {
 			continue
 		}
 		for _, t := range j.tasks[step] {
@@ -96,6 +104,7 @@
 			placed = append(placed, t.location())
 		}
 	}
+	c.recordOwed(j)
 	if len(placed) > 0 {
 		c.logDecision(Decision{
 			Event: "job_placed", Job: j.ID, Reason: strings.Join(placed, " "),
@@ -127,8 +136,17 @@
 
 func (c *Core) placeTask(j *job, t *task, requests map[string][]Placement) bool {
 	step := &j.Steps[t.step]
+	if c.costOrder.isFull(j, step) {
+		return false
+	}
 	best, ok := c.bestCandidate(j, t, step)
-	if !ok || c.waitsForFaster(t, step, &best) {
+	if ok && c.waitsForFaster(t, step, &best) {
+		return false
+	}
+	if !ok {
+		if !c.keptForOthers { // which depends on the job
+			c.costOrder.recordFull(j, t, step)
+		}
 		return false
 	}
 	c.placeOn(&best, t, false, requests)
@@ -138,13 +156,17 @@
 // placeOn starts a task on a target, or requests this of its owner.
 func (c *Core) placeOn(best *candidate, t *task, alone bool, requests map[string][]Placement) {
 	j, step := t.job, &t.job.Steps[t.step]
+	c.costOrder.capacityTaken()
 	c.lastRef++
 	t.ref, t.runs, t.state, t.placedAt = c.lastRef, t.runs+1, starting, c.now
 	t.trial = alone
 	t.startedAt, t.waitLimit = 0, 0
 	c.placements[t.ref] = t
 	j.inFlight++
-	j.started = true
+	if !j.started {
+		j.started = true
+		c.jobStarted(j)
+	}
 	if j.Stored {
 		c.storedStarts.add(c.now, step.cpuSeconds())
 	}
@@ -172,6 +194,7 @@
 // bestCandidate returns the best target for a task: near its data, healthy, owned
 // here, and with the least capacity left over.
 func (c *Core) bestCandidate(j *job, t *task, step *Step) (candidate, bool) {
+	c.keptForOthers = false
 	var best candidate
 	var speeds speedCosts
 	found := false
@@ -208,8 +231,12 @@
 			}
 			option.score += remote.coldCost()
 			option.score += speeds.of(c, t, step, c.remoteClass(p, remote))
-			if (!found || option.better(&best)) && (level == ample || c.mayUse(p, remote, &level, j, step)) {
+			switch {
+			case found && !option.better(&best):
+			case level == ample || c.mayUse(p, remote, &level, j, step):
 				best, found = option, true
+			default:
+				c.keptForOthers = true
 			}
 		}
 	}
@@ -275,6 +302,7 @@
 		objective, age := j.objective(), c.now-j.submittedAt
 		switch {
 		case j.ending, j.Stored:
+		case !j.started && c.costOrder != nil: // applyCostOrder
 		case !j.started && age >= j.StartTimeout():
 			c.answerJob(j, NotRun, "no room", retryAfter)
 			c.endJob(j)
@@ -283,6 +311,9 @@
 			c.endJob(j)
 		}
 	}
+	if c.costOrder != nil {
+		c.applyCostOrder()
+	}
 }
 
 func (c *Core) dequeue(j *job) {
