Keep the server's request when bodies are counted

Cause: the pool's handler replaced the Body of net/http's own request. net/http decides by the type of that Body whether it reads the rest before the response, so that a response to a request with Expect: 100-continue waited for the body, and an unread body of 256 KiB was read as well. Ruled out: Expect handling in the module itself; net/http does it right once it sees its own types. Change: the handlers get a copy of the request, as with http.MaxBytesHandler.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -22,7 +22,11 @@
 			p.enter(c, Serving)
 		} else {
 			p.enter(c, Body)
-			r.Body = &body{ReadCloser: r.Body, pool: p, conn: c}
+			// The server's request keeps its Body: net/http recognises the type when it
+			// decides whether to read the rest before the response.
+			counted := *r
+			counted.Body = &body{ReadCloser: r.Body, pool: p, conn: c}
+			r = &counted
 		}
 		defer p.finish(c)
 		next.ServeHTTP(w, r)
--- a/ingress/pool_test.go
+++ b/ingress/pool_test.go
@@ -167,6 +167,29 @@
 		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection stays open")
 	})
 
+	// Guards against a body that is read before a response that does not need it: the
+	// client waits for 100 Continue, or sends more than net/http discards.
+	DescribeTable("answers at once without reading the body", func(header string) {
+		pool := NewPool(Options{Budget: budget, Limits: func() Limits { return testLimits }, Logger: zerolog.Nop()})
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		mux := http.NewServeMux()
+		mux.HandleFunc("/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+			Expect(r.PathValue("id")).To(Equal("7"))
+			w.WriteHeader(http.StatusNotFound)
+		})
+		server := &http.Server{Handler: mux}
+		pool.Attach(server)
+		go func() { _ = server.Serve(pool.Listener("test", 4, inner, false)) }()
+		DeferCleanup(server.Close)
+		c := dial(inner.Addr().String())
+		Expect(c.SetDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+		Expect(status(c, []byte("POST /jobs/7 HTTP/1.1\r\nHost: a\r\n"+header+"\r\n\r\n"))).To(Equal(http.StatusNotFound))
+	},
+		Entry("with Expect", "Content-Length: 1000\r\nExpect: 100-continue"),
+		Entry("of 256 KiB", "Content-Length: 262144"),
+	)
+
 	// Guards against encrypted connections whose requests are not counted, or that hide
 	// the client's certificate from the handler.
 	It("counts requests on encrypted connections", func() {
