Let each address choose how many connections wait

Cause: the queue of connections that wait to be accepted had 256 places everywhere. After a freeze of under half a second, SYNs of targets' heartbeats were dropped: 1,100 targets at 1.5 s open up to 733 connections a second. Ruled out: 2,048 for gateways too; full buffers would take 0.44 of 144 MB. Change: ingress.Listen takes the length: coordinators' control 2,048, hawthornd the system's value, gateways' callers 256, readiness and metrics as many as are served.

--- a/apps/hawthorn-platform/clients.go
+++ b/apps/hawthorn-platform/clients.go
@@ -33,6 +33,16 @@
 	// sideConnections is the limit on connections for readiness and for metrics. Each
 	// is asked by a few clients, about once a second.
 	sideConnections = 32
+	// callerBacklog is the most connections that wait to be accepted at a gateway: 8 MiB
+	// with full receive buffers, 0.06 of 144 MB.
+	callerBacklog = 256
+	// controlBacklog holds the heartbeats of almost 3 s of a frozen coordinator: 1,100
+	// targets open up to 733 connections a second. With full receive buffers it takes 64
+	// MiB, 0.16 of 408 MB, while no accepted connection has full send buffers: responses
+	// to targets have less than 1 KB.
+	controlBacklog = 2048
+	// sideBacklog is that of readiness and metrics: as many as are served.
+	sideBacklog = sideConnections
 	// targetShare is the part of a coordinator's descriptors for its connections to
 	// targets; as many are left for those from targets.
 	targetShare = 0.5
@@ -93,19 +103,26 @@
 	}
 }
 
+// address is where a server listens.
+type address struct {
+	name, hostPort string
+	connections    int // limit
+	backlog        int // most connections that wait to be accepted
+}
+
 // serve listens on the address and serves in the group until the context ends.
-func (c *clients) serve(ctx context.Context, group *errgroup.Group, name, address string, connections int, server *http.Server) error {
-	inner, err := ingress.Listen(ctx, address)
+func (c *clients) serve(ctx context.Context, group *errgroup.Group, a address, server *http.Server) error {
+	inner, err := ingress.Listen(ctx, a.hostPort, a.backlog)
 	if err != nil {
-		return errors.Annotatef(err, "listen on %s", address)
+		return errors.Annotatef(err, "listen on %s", a.hostPort)
 	}
-	listener := c.pool.Listener(name, connections, inner, false)
+	listener := c.pool.Listener(a.name, a.connections, inner, false)
 	server.ReadHeaderTimeout, server.MaxHeaderBytes = outerHeadTimeout, outerHeadBytes
 	c.pool.Attach(server)
 	server.ErrorLog = nil // the standard logger: errors go to stderr, without a rate limit
 	group.Go(func() error {
 		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			return errors.Annotatef(err, "serve %s", address)
+			return errors.Annotatef(err, "serve %s", a.hostPort)
 		}
 		return nil
 	})
--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -42,15 +42,15 @@
 	clients := p.newClients(coordinator.Limits)
 	group.Go(func() error { return clients.pool.Run(ctx) })
 	control := &http.Server{Handler: platform.NewControlHandler(coordinator, p.logger)}
-	if err := clients.serve(ctx, group, "control", s.ControlAddress, clients.connections, control); err != nil {
+	if err := clients.serve(ctx, group, address{"control", s.ControlAddress, clients.connections, controlBacklog}, control); err != nil {
 		return err
 	}
 	var pages []page
 	if coordinator.EvacuationsEnabled() {
 		pages = append(pages, page{operatorapi.PathEvacuations, evacuationsHandler(coordinator)})
 	}
-	address, metrics := p.metricsServer(pages...)
-	if err := clients.serve(ctx, group, "metrics", address, sideConnections, metrics); err != nil {
+	metricsAddress, metrics := p.metricsServer(pages...)
+	if err := clients.serve(ctx, group, address{"metrics", metricsAddress, sideConnections, sideBacklog}, metrics); err != nil {
 		return err
 	}
 	group.Go(func() error {
--- a/apps/hawthorn-platform/gateway.go
+++ b/apps/hawthorn-platform/gateway.go
@@ -45,15 +45,15 @@
 	clients := p.newClients(gateway.Limits)
 	group.Go(func() error { return clients.pool.Run(ctx) })
 	callerServer := &http.Server{Handler: platform.NewCallerHandler(gateway, p.logger)}
-	if err := clients.serve(ctx, group, "callers", s.CallerAddress, clients.connections, callerServer); err != nil {
+	if err := clients.serve(ctx, group, address{"callers", s.CallerAddress, clients.connections, callerBacklog}, callerServer); err != nil {
 		return err
 	}
 	readiness := &http.Server{Handler: platform.NewReadinessHandler(gateway)}
-	if err := clients.serve(ctx, group, "readiness", s.ReadinessAddress, sideConnections, readiness); err != nil {
+	if err := clients.serve(ctx, group, address{"readiness", s.ReadinessAddress, sideConnections, sideBacklog}, readiness); err != nil {
 		return err
 	}
-	address, metrics := p.metricsServer()
-	if err := clients.serve(ctx, group, "metrics", address, sideConnections, metrics); err != nil {
+	metricsAddress, metrics := p.metricsServer()
+	if err := clients.serve(ctx, group, address{"metrics", metricsAddress, sideConnections, sideBacklog}, metrics); err != nil {
 		return err
 	}
 	group.Go(func() error { return gateway.Run(ctx) })
--- a/apps/hawthornd/main.go
+++ b/apps/hawthornd/main.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "log level")
 	}
-	httpListener, err := ingress.Listen(context.Background(), daemon.Instance.ListenHTTP)
+	httpListener, err := ingress.Listen(context.Background(), daemon.Instance.ListenHTTP, 0)
 	if err != nil {
 		return server.Options{}, errors.Annotate(err, "listen for HTTP")
 	}
--- a/ingress/bench_test.go
+++ b/ingress/bench_test.go
@@ -18,7 +18,7 @@
 	for _, bounded := range []bool{false, true} {
 		name := map[bool]string{false: "plain", true: "pool"}[bounded]
 		b.Run(name, func(b *testing.B) {
-			inner, err := Listen(context.Background(), "127.0.0.1:0")
+			inner, err := Listen(context.Background(), "127.0.0.1:0", 0)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/ingress/pool_test.go
+++ b/ingress/pool_test.go
@@ -24,7 +24,7 @@
 func serve(limits *atomic.Pointer[Limits], budget Budget, connections int) (*Pool, string) {
 	GinkgoHelper()
 	pool := NewPool(Options{Budget: budget, Limits: func() Limits { return *limits.Load() }, Logger: zerolog.Nop()})
-	inner, err := Listen(context.Background(), "127.0.0.1:0")
+	inner, err := Listen(context.Background(), "127.0.0.1:0", 0)
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(r.Body)
@@ -167,6 +167,23 @@
 		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse(), "the connection stays open")
 	})
 
+	// Guards against heartbeats that are lost because the process was frozen for a
+	// moment: 1,100 targets open up to 733 connections a second.
+	DescribeTable("keeps connections waiting while it does not accept", func(backlog, connections int) {
+		inner, err := Listen(context.Background(), "127.0.0.1:0", backlog)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(inner.Close)
+		for range connections {
+			// A SYN that is dropped is sent again after a second.
+			c, err := net.DialTimeout("tcp", inner.Addr().String(), 900*time.Millisecond)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+		}
+	},
+		Entry("with a length", 2048, 733),
+		Entry("with the system's length", 0, 733),
+	)
+
 	// Guards against a body that is read before a response that does not need it: the
 	// client waits for 100 Continue, or sends more than net/http discards.
 	DescribeTable("answers at once without reading the body", func(header string) {
