Bound the rate of bodies only under pressure

Cause: a body had 30 s and 1 s for each 16 KiB received, in any case, so that a legal request of a slow client was closed while nothing needed its place. Ruled out: no bound at all without pressure; single bytes would keep a request open without end. Change: the bound applies from three quarters of the bytes for large requests or of the address's connections, and while draining. Otherwise a body has 10 minutes, and idle-timeout-ms between bytes.

--- a/ingress/rule.go
+++ b/ingress/rule.go
@@ -70,9 +70,14 @@
 	// pressure, slower bodies are closed first.
 	fairRate = 64 << 10
 	// leastRate in bytes per second, after leastRateGrace, bounds the time of a body
-	// without pressure: 46 s for 262,144 bytes.
+	// under pressure: 46 s for 262,144 bytes.
 	leastRate      = 16 << 10
 	leastRateGrace = 30 * time.Second
+	// pressureShare is the part of the bytes or of an address's connections from which
+	// leastRate applies.
+	pressureShare = 0.75
+	// longestBody bounds the time of a body without pressure.
+	longestBody = 10 * time.Minute
 	// finishTimeout bounds the time in which net/http reads the rest of a refused
 	// request; it waits for 0.5 s after its response.
 	finishTimeout = 3 * time.Second
@@ -308,8 +313,7 @@
 			return HeadTimeout
 		}
 	case Body:
-		allowed := leastRateGrace + time.Duration(m.received)*time.Second/leastRate
-		if now.Sub(m.progressAt) > r.Limits.IdleTimeout || age > allowed {
+		if now.Sub(m.progressAt) > r.Limits.IdleTimeout || age > r.bodyTime(m) {
 			return BodyTimeout
 		}
 	case Finishing:
@@ -319,3 +323,12 @@
 	}
 	return ""
 }
+
+// bodyTime returns how long a body may take.
+func (r *Rule) bodyTime(m *Member) time.Duration {
+	bytes, connections := float64(r.budget.Bytes-r.budget.Reserve), float64(m.group.Limit)
+	if !r.draining && float64(r.held) < pressureShare*bytes && float64(len(m.group.members)) < pressureShare*connections {
+		return longestBody
+	}
+	return min(longestBody, leastRateGrace+time.Duration(m.received)*time.Second/leastRate)
+}
