Admit ordinary callers at a full address

Cause: connections that are served, or idle for less than 5 s, were never closed, so that an address full of them closed new connections without an answer. Each of these cost a walk over all connections. Ruled out: a queue of refused connections; it takes the descriptors that are missing. Change: if no connection qualifies, the one that has been idle the longest is closed, unless connections without any request have half of the places. If there is none, the new one gets a constant 503 with Retry-After; at most 8 stay open until the client has read it. A group remembers until when no connection can qualify.

--- a/ingress/pool.go
+++ b/ingress/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,11 @@
 	// logLinesPerSweep bounds the lines for closed clients to 5 a second, so that they
 	// do not take the place of other lines.
 	logLinesPerSweep = 1
+	// fullResponse is sent to a connection for which there is no place.
+	fullResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	// maxRefusals is the most connections that stay open until the client has read its
+	// fullResponse. Their descriptors are beyond the limits of the addresses.
+	maxRefusals = 8
 )
 
 // Pool applies one Rule to the connections of all addresses of a process.
@@ -44,6 +50,8 @@
 	lines   int // logged since the last sweep
 	omitted int // closed clients without a line
 	closed  map[Reason]*metrics.Counter
+	// refusals are the connections that wait for the end of their fullResponse.
+	refusals atomic.Int64
 }
 
 // NewPool returns a pool without addresses.
@@ -149,13 +157,41 @@
 		}
 		if member == nil {
 			l.pool.count(ConnectionLimit)
-			_ = accepted.Close() // it has had no request
+			l.refuse(accepted)
 			continue
 		}
 		return c, nil
 	}
 }
 
+// refuse answers a connection that is not admitted. None of its bytes were read.
+func (l *listener) refuse(c net.Conn) {
+	half, ok := c.(interface{ CloseWrite() error })
+	if l.opaque || !ok {
+		_ = c.Close()
+		return
+	}
+	// The response fits into the empty send buffer, so that the write does not wait.
+	_, err := io.WriteString(c, fullResponse)
+	if err != nil || half.CloseWrite() != nil {
+		_ = c.Close()
+		return
+	}
+	if l.pool.refusals.Add(1) > maxRefusals {
+		l.pool.refusals.Add(-1)
+		_ = c.Close()
+		return
+	}
+	// Closing a connection with unread bytes resets it, and the client may lose the
+	// response.
+	go func() {
+		defer l.pool.refusals.Add(-1)
+		defer c.Close()
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c)
+	}()
+}
+
 type connKey struct{}
 
 // unwrap returns the connection below an encrypted one, or nil.
--- a/ingress/pool_test.go
+++ b/ingress/pool_test.go
@@ -158,6 +158,54 @@
 		Expect(len(pool.conns)).To(BeNumerically("<=", 4))
 	})
 
+	// Guards against callers that are closed without an answer while all connections of
+	// the address serve requests, and against refused ones that are kept.
+	It("answers 503 while all connections are being served", func() {
+		pool := NewPool(Options{Budget: budget, Limits: func() Limits { return testLimits }, Logger: zerolog.Nop()})
+		inner, err := Listen(context.Background(), "127.0.0.1:0", 0)
+		Expect(err).NotTo(HaveOccurred())
+		release := make(chan struct{})
+		var serving atomic.Int64
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			serving.Add(1)
+			<-release
+			w.WriteHeader(http.StatusOK)
+		})}
+		pool.Attach(server)
+		go func() { _ = server.Serve(pool.Listener("test", 2, inner, false)) }()
+		DeferCleanup(server.Close)
+		var served []net.Conn
+		for i := range 2 {
+			c := dial(inner.Addr().String())
+			_, err := c.Write(requestWithHead(500))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(serving.Load).WithTimeout(10 * time.Second).Should(BeEquivalentTo(i + 1))
+			served = append(served, c)
+		}
+		for range 3 * maxRefusals {
+			c := dial(inner.Addr().String())
+			_, err := c.Write(requestWithHead(4000))
+			Expect(err).NotTo(HaveOccurred())
+			reader := bufio.NewReader(c)
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+			_, err = reader.ReadByte()
+			Expect(err).To(MatchError(io.EOF))
+			Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+			Eventually(pool.refusals.Load).WithTimeout(10 * time.Second).Should(BeZero())
+		}
+		close(release)
+		for _, c := range served {
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(http.StatusOK))
+		}
+		Eventually(func() int { return status(dial(inner.Addr().String()), requestWithHead(500)) }).
+			WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
+	})
+
 	// Guards against blank lines that are read without end.
 	It("closes a connection with blank lines before a request", func() {
 		_, address := serve(current(testLimits), budget, 4)
--- a/ingress/rule.go
+++ b/ingress/rule.go
@@ -89,6 +89,9 @@
 	Limit   int // connections
 	members map[*Member]struct{}
 	fresh   int
+	// noneUntil is the time before which no member has to be searched for in favour of a
+	// new connection, and noFreshUntil is the same for those without any request.
+	noneUntil, noFreshUntil time.Time
 }
 
 // NewGroup returns a group without connections.
@@ -140,11 +143,11 @@
 // favour; if there is none, the connection is not admitted and member is nil.
 func (r *Rule) Open(g *Group, now time.Time) (member, victim *Member) {
 	if len(g.members) >= g.Limit {
-		if victim = g.worst(now, unfinished|waiting|idle); victim == nil {
+		if victim = g.victim(now); victim == nil {
 			return nil, nil
 		}
-	} else if g.fresh >= g.Limit/freshShare {
-		victim = g.worst(now, waiting)
+	} else if g.fresh >= g.Limit/freshShare && !now.Before(g.noFreshUntil) {
+		victim, g.noFreshUntil = g.worst(now, waiting)
 	}
 	if victim != nil {
 		r.leave(victim)
@@ -152,9 +155,48 @@
 	member = &Member{group: g, since: now, progressAt: now}
 	g.members[member] = struct{}{}
 	g.fresh++
+	g.changed(member)
 	return member, victim
 }
 
+// victim returns the member of a full group to close in favour of a new connection: the
+// worst one, or the one that has been idle for the longest time. The latter is closed at
+// any age, so that kept connections do not shut others out, but not for more connections
+// without any request than freshShare permits.
+func (g *Group) victim(now time.Time) *Member {
+	if now.Before(g.noneUntil) {
+		return nil
+	}
+	victim, until := g.worst(now, unfinished|waiting|idle)
+	if victim == nil && g.fresh < max(g.Limit/freshShare, 1) {
+		for m := range g.members {
+			if m.kind() == idle && (victim == nil || m.since.Before(victim.since)) {
+				victim = m
+			}
+		}
+	}
+	g.noneUntil = time.Time{}
+	if victim == nil {
+		g.noneUntil = until
+	}
+	return victim
+}
+
+// changed records that a member has entered a phase, in which it may be closed later.
+func (g *Group) changed(m *Member) {
+	kind := m.kind()
+	if kind == 0 {
+		return
+	}
+	until := m.since.Add(fairAges[kind])
+	if kind == idle {
+		until = m.since
+	}
+	if until.Before(g.noneUntil) {
+		g.noneUntil = until
+	}
+}
+
 // Kinds of members that may be closed in favour of a new connection, the first ones last.
 const (
 	idle       = 1 << iota // between two requests
@@ -179,22 +221,31 @@
 
 // worst returns the member of the given kinds to close in favour of a new connection:
 // an unfinished request, the one with the most bytes for the longest time first, then
-// the connection that has had no request for the longest time.
-func (g *Group) worst(now time.Time, kinds int) *Member {
-	var worst *Member
+// the connection that has had no request for the longest time. If no member is old
+// enough, until is when the first one will be.
+func (g *Group) worst(now time.Time, kinds int) (worst *Member, until time.Time) {
 	var worstScore float64
+	until = now.Add(idleAge)
 	for m := range g.members {
 		kind := m.kind()
-		age := now.Sub(m.since)
-		if kind&kinds == 0 || age < fairAges[kind] {
+		if kind&kinds == 0 {
+			continue
+		}
+		if fair := m.since.Add(fairAges[kind]); now.Before(fair) {
+			if fair.Before(until) {
+				until = fair
+			}
 			continue
 		}
-		score := age.Seconds() * float64(m.received+smallRequest)
+		score := now.Sub(m.since).Seconds() * float64(m.received+smallRequest)
 		if worst == nil || kind > worst.kind() || kind == worst.kind() && score > worstScore {
 			worst, worstScore = m, score
 		}
 	}
-	return worst
+	if worst != nil {
+		until = time.Time{}
+	}
+	return worst, until
 }
 
 // leave takes a member out of the counts before its connection is closed.
@@ -204,9 +255,7 @@
 	}
 	m.closing = true
 	r.Release(m)
-	if m.phase == Fresh {
-		m.group.fresh--
-	}
+	m.group.leaveFresh(m)
 	delete(m.group.members, m)
 }
 
@@ -218,10 +267,18 @@
 	if m.closing {
 		return
 	}
-	if m.phase == Fresh {
-		m.group.fresh--
-	}
+	m.group.leaveFresh(m)
 	m.phase, m.since, m.progressAt, m.received = phase, now, now, 0
+	m.group.changed(m)
+}
+
+// leaveFresh counts a member that is no longer without any request.
+func (g *Group) leaveFresh(m *Member) {
+	if m.phase != Fresh {
+		return
+	}
+	g.fresh--
+	g.noneUntil = time.Time{} // an idle member may be closed again
 }
 
 // Receive records received bytes.
