Keep requests that are served and responses after a freeze

Cause: a handler that does not read its body to the end, as for a cancellation with a body or a chunked body of which a JSON decoder reads the first value, left its request in the phase of its body, so that it could be closed while it worked. Ruled out: reading each body to its end before the work; a client that does not end it would delay the answer. As net/http waits for the rest before the response, that wait counts as finishing. The calls in server have no spec of their own.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -32,12 +32,19 @@
 	// head is used only by Read, which net/http calls from one goroutine at a time.
 	head   headScanner
 	scan   bool        // the listener has plain text
+	body   atomic.Bool // the request has a body whose end was not read
+	rest   atomic.Bool // it was released nevertheless
 	linger atomic.Bool // a response precedes Close
 	closed atomic.Bool
 }
 
 // Read reads from the connection. It ends the connection before a head exceeds its limit.
 func (c *conn) Read(p []byte) (int, error) {
+	// net/http reads the rest of a body that the handler did not read before it sends
+	// the response.
+	if c.rest.Load() && c.rest.CompareAndSwap(true, false) {
+		c.pool.enter(c, Finishing)
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.received(p[:n]) {
 		return 0, io.EOF
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -22,6 +22,7 @@
 			p.enter(c, Serving)
 		} else {
 			p.enter(c, Body)
+			c.body.Store(true)
 			// The server's request keeps its Body: net/http recognises the type when it
 			// decides whether to read the rest before the response.
 			counted := *r
@@ -35,6 +36,8 @@
 
 // finish returns the bytes of a request and bounds the time until the next one.
 func (p *Pool) finish(c *conn) {
+	c.body.Store(false)
+	c.rest.Store(false)
 	now := time.Now()
 	p.mu.Lock()
 	p.rule.Release(c.member)
@@ -42,13 +45,16 @@
 	p.mu.Unlock()
 }
 
-// Release returns the bytes of a request to the budget once its handler has decoded
-// the body and no longer refers to it.
+// Release marks a request as complete and returns its bytes to the budget. A handler
+// calls it once it has decoded the body and no longer refers to it, or does not need it.
 func Release(r *http.Request) {
 	if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
+		now := time.Now()
 		c.pool.mu.Lock()
 		c.pool.rule.Release(c.member)
+		c.pool.rule.Enter(c.member, Serving, now)
 		c.pool.mu.Unlock()
+		c.rest.Store(c.body.Load())
 	}
 }
 
@@ -81,6 +87,7 @@
 	n, err := b.ReadCloser.Read(p[:min(len(p), b.room)])
 	b.room -= n
 	if err == io.EOF {
+		b.conn.body.Store(false)
 		b.pool.enter(b.conn, Serving)
 	}
 	return n, err
--- a/ingress/pool_test.go
+++ b/ingress/pool_test.go
@@ -206,6 +206,54 @@
 			WithTimeout(10 * time.Second).Should(Equal(http.StatusOK))
 	})
 
+	// Guards against requests that are closed while they are served, because their
+	// handler does not read the body to its end.
+	It("does not count a released request as unfinished", func() {
+		pool := NewPool(Options{Budget: budget, Limits: func() Limits { return testLimits }, Logger: zerolog.Nop()})
+		inner, err := Listen(context.Background(), "127.0.0.1:0", 0)
+		Expect(err).NotTo(HaveOccurred())
+		phases := make(chan Phase, 1)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Release(r)
+			pool.mu.Lock()
+			for m := range pool.conns {
+				phases <- m.phase
+			}
+			pool.mu.Unlock()
+		})}
+		pool.Attach(server)
+		go func() { _ = server.Serve(pool.Listener("test", 2, inner, false)) }()
+		DeferCleanup(server.Close)
+		Expect(status(dial(inner.Addr().String()), []byte("DELETE / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}"))).
+			To(Equal(http.StatusOK))
+		Expect(<-phases).To(Equal(Serving))
+	})
+
+	// Guards against a released request whose body never ends, and that keeps its place
+	// because net/http waits for the rest before a response.
+	It("bounds the wait for the rest of a released request", func() {
+		pool := NewPool(Options{Budget: budget, Limits: func() Limits { return testLimits }, Logger: zerolog.Nop()})
+		inner, err := Listen(context.Background(), "127.0.0.1:0", 0)
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			Release(r)
+			_, _ = w.Write(make([]byte, 16<<10)) // beyond the buffer of net/http
+		})}
+		pool.Attach(server)
+		go func() { _ = server.Serve(pool.Listener("test", 2, inner, false)) }()
+		DeferCleanup(server.Close)
+		_, err = dial(inner.Addr().String()).Write([]byte("DELETE / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() (phases []Phase) {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			for m := range pool.conns {
+				phases = append(phases, m.phase)
+			}
+			return phases
+		}).WithTimeout(2 * time.Second).Should(ConsistOf(Finishing))
+	})
+
 	// Guards against blank lines that are read without end.
 	It("closes a connection with blank lines before a request", func() {
 		_, address := serve(current(testLimits), budget, 4)
--- a/ingress/rule.go
+++ b/ingress/rule.go
@@ -81,6 +81,9 @@
 	// finishTimeout bounds the time in which net/http reads the rest of a refused
 	// request; it waits for 0.5 s after its response.
 	finishTimeout = 3 * time.Second
+	// lateSweep is the distance of two sweeps from which the process counts as frozen
+	// meanwhile. Sweeps are 0.2 s apart.
+	lateSweep = time.Second
 )
 
 // Group is the connections of one address.
@@ -125,6 +128,8 @@
 	held     int64
 	draining bool
 	groups   []*Group
+	sweptAt  time.Time
+	skipped  bool // the last sweep was late
 }
 
 // NewRule returns a rule without connections.
@@ -338,8 +343,15 @@
 // Writing records the start of a write, or its end if now is zero.
 func (r *Rule) Writing(m *Member, now time.Time) { m.writingAt = now }
 
-// Overdue removes and returns the members whose time has passed.
+// Overdue removes and returns the members whose time has passed. It returns none if it
+// is called late, because clients and handlers have had no chance to make progress
+// meanwhile, but not twice in a row.
 func (r *Rule) Overdue(now time.Time) []Closing {
+	late := !r.sweptAt.IsZero() && now.Sub(r.sweptAt) > lateSweep
+	r.sweptAt, r.skipped = now, late && !r.skipped
+	if r.skipped {
+		return nil
+	}
 	var overdue []Closing
 	for _, g := range r.groups {
 		for m := range g.members {
--- a/ingress/rule_test.go
+++ b/ingress/rule_test.go
@@ -223,6 +223,26 @@
 		Expect(rule.Overdue(at(20.1))).To(ConsistOf(Closing{body, BodyTimeout}, Closing{writing, ResponseTimeout}))
 	})
 
+	// Guards against connections whose response is being written and that are closed
+	// because the process was frozen: their time passed meanwhile.
+	It("closes nothing in the first sweep after a freeze", func() {
+		writing, finishing := open(at(0), Serving), open(at(0), Finishing)
+		Expect(rule.Overdue(at(0.2))).To(BeEmpty())
+		rule.Writing(writing, at(0.3))
+		Expect(rule.Overdue(at(20))).To(BeEmpty())
+		rule.Writing(writing, time.Time{})
+		rule.Enter(finishing, Idle, at(20.1))
+		Expect(rule.Overdue(at(20.2))).To(BeEmpty())
+	})
+
+	// Guards against a process whose sweeps are all late and that closes nothing.
+	It("closes in the second late sweep", func() {
+		m := open(at(0), Finishing)
+		Expect(rule.Overdue(at(0.2))).To(BeEmpty())
+		Expect(rule.Overdue(at(4))).To(BeEmpty())
+		Expect(rule.Overdue(at(8))).To(ConsistOf(Closing{m, BodyTimeout}))
+	})
+
 	// Guards against unfinished requests that hold up a planned stop.
 	It("closes unfinished requests when it drains", func() {
 		body := open(at(0), Body)
--- a/server/http.go
+++ b/server/http.go
@@ -89,6 +89,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.requests.add()
 		defer s.requests.done()
+		ingress.Release(r) // a body has no meaning
 		id, err := structs.ParseJobID(r.PathValue("id"))
 		if err != nil {
 			s.rejectRequest(w, id, err)
@@ -145,6 +146,7 @@
 		rejectUnread(w, err)
 		return
 	}
+	ingress.Release(r)
 	if err != nil {
 		writeJSON(w, http.StatusBadRequest, targetapi.AnnounceReply{Instance: s.options.Name, Message: "malformed announcement: " + err.Error()})
 		return
--- a/server/operators.go
+++ b/server/operators.go
@@ -273,6 +273,7 @@
 		s.operatorError(w, decodeStatus(err), "decode request", err)
 		return
 	}
+	ingress.Release(r)
 	if err := checkApply(&request); err != nil {
 		s.operatorError(w, http.StatusBadRequest, "check configuration", err)
 		return
@@ -331,6 +332,7 @@
 		s.operatorError(w, decodeStatus(err), "decode request", err)
 		return
 	}
+	ingress.Release(r)
 	s.log.Info().Str("event", "drain_requested").Str("operator", request.Operator).Send()
 	s.requestDrain()
 	writeJSON(w, http.StatusAccepted, operatorapi.DrainReply{
