--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
 # Runs all tests with the race detector, and then the tests with crowds of clients
-# alone. Specs listed in KNOWN-RED.txt are
-# skipped and printed.
+# alone. Specs listed in KNOWN-RED.txt are skipped and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
