--- a/apps/hawthorn-platform/clients.go
+++ b/apps/hawthorn-platform/clients.go
@@ -37,9 +37,9 @@
 	// with full receive buffers, 0.06 of 144 MB.
 	callerBacklog = 256
 	// controlBacklog holds the heartbeats of almost 3 s of a frozen coordinator: 1,100
-	// targets open up to 733 connections a second. With full receive buffers it takes 64
-	// MiB, 0.16 of 408 MB, while no accepted connection has full send buffers: responses
-	// to targets have less than 1 KB.
+	// targets open up to 733 connections a second. With full receive buffers it takes
+	// 64 MiB, 0.16 of 408 MB, which fits as long as the accepted connections do not all
+	// have full send buffers.
 	controlBacklog = 2048
 	// sideBacklog is that of readiness and metrics: as many as are served.
 	sideBacklog = sideConnections
