Do not follow uncommitted revocations on the disk

Cause: after a restart, evacuationsOnDisk applied all entries of the log on the disk. A revocation that was never committed, and that another leader overwrites later, made the coordinator start tasks in a data centre whose evacuation is acknowledged and in force. Ruled out: following only committed entries, which loses an acknowledged order whose commit is not on the disk yet; and dropping uncommitted revocations from the replay, as later orders name their revisions. Change: all entries up to the persisted commit index count, and after it only states that evacuate. Tests: the spec 'include the log on the disk, up to its end' expected an uncommitted revocation to be followed, which is the fault. It is replaced by one that expects the opposite, and that the revocation counts once it is committed. It failed before. The new spec with a later evacuation after such a revocation guards the replay; it passes on the earlier code too.

--- a/cluster/evacuations.go
+++ b/cluster/evacuations.go
@@ -47,7 +47,7 @@
 	store   *stateStore
 
 	mu sync.Mutex
-	// found is the set on the disk at the start. It includes log entries that are not
+	// found is the set on the disk at the start. It includes evacuations that are not
 	// known to be committed yet, so that a restart of all coordinators forgets no order.
 	// It is dropped after the first confirmed read.
 	found evacuation.Set
@@ -112,15 +112,19 @@
 	return nil
 }
 
-// evacuationsOnDisk returns the set after all entries on the disk.
+// evacuationsOnDisk returns the set of the log on the disk. Entries after the last known
+// commit may be committed or may be overwritten by another leader, so of these only
+// evacuations count: a revocation may only be followed once it is committed.
 func evacuationsOnDisk(persisted *consensus.PersistentState) (evacuation.Set, error) {
-	var found evacuation.Set
+	// replayed follows all entries, because later orders name its revisions.
+	var replayed, found evacuation.Set
 	var applied uint64
 	if snapshot := persisted.Snapshot; snapshot != nil {
 		var state wire.CoordinatorState
 		if err := proto.Unmarshal(snapshot.GetData(), &state); err != nil {
 			return found, errors.Annotate(err, "decode snapshot")
 		}
+		replayed.Restore(state.GetEvacuations())
 		found.Restore(state.GetEvacuations())
 		applied = snapshot.GetIndex()
 	}
@@ -132,8 +136,14 @@
 		if err := proto.Unmarshal(entry.GetData(), &command); err != nil {
 			return found, errors.Annotatef(err, "decode log entry %d", entry.GetIndex())
 		}
-		if order := command.GetEvacuation(); order != nil {
-			found.Apply(command.GetClockUnixMs(), order)
+		order := command.GetEvacuation()
+		if order == nil {
+			continue
+		}
+		replayed.Apply(command.GetClockUnixMs(), order)
+		state := replayed.Get(order.GetDataCentre())
+		if state.Evacuated || entry.GetIndex() <= persisted.Hard.GetCommit() {
+			found.Adopt(order.GetDataCentre(), state)
 		}
 	}
 	return found, nil
--- a/cluster/evacuations_test.go
+++ b/cluster/evacuations_test.go
@@ -49,10 +49,11 @@
 	}
 
 	// Guards against starts after a loss of all power while no leader is elected: until
-	// then no entry after the snapshot counts as committed.
-	It("include the log on the disk, up to its end", func() {
+	// then entries after the last commit on the disk may be committed or not, so only
+	// those of them that forbid starts may be followed.
+	It("include the log on the disk, and only evacuations after the last commit", func() {
 		Expect(e.current()).To(Equal(unknown))
-		Expect(e.diskOpened(&consensus.PersistentState{
+		persisted := &consensus.PersistentState{
 			Snapshot: snapshot(order("dc0", true, 0), order("dc1", true, 0)),
 			Entries: []*consensus.Entry{
 				entry(2, order("dc1", true, 0)), // in the snapshot
@@ -61,8 +62,15 @@
 				entry(5, order("dc1", false, 1)),
 				entry(6, order("dc0", false, 0)), // conflicts
 			},
-		})).To(Succeed())
-		Expect(e.current()).To(Equal(set("dc0", "dc2")))
+		}
+		Expect(e.diskOpened(persisted)).To(Succeed())
+		Expect(e.current()).To(Equal(set("dc0", "dc1", "dc2")), "the revocation may be overwritten")
+		persisted.Hard = &consensus.HardState{Commit: 4}
+		Expect(e.diskOpened(persisted)).To(Succeed())
+		Expect(e.current()).To(Equal(set("dc0", "dc1", "dc2")))
+		persisted.Hard.Commit = 5
+		Expect(e.diskOpened(persisted)).To(Succeed())
+		Expect(e.current()).To(Equal(set("dc0", "dc2")), "the revocation is committed")
 		_, err := s.Apply(entry(1, order("dc0", true, 0)))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(e.current()).To(Equal(set("dc0", "dc2")), "the log is not read to its end yet")
@@ -70,6 +78,24 @@
 		Expect(e.current()).To(Equal(set("dc0")), "the log counts")
 	})
 
+	// Guards against starts while the log is replayed up to an uncommitted revocation
+	// that another evacuation follows.
+	It("follow an evacuation on the disk after an uncommitted revocation", func() {
+		Expect(e.diskOpened(&consensus.PersistentState{
+			Hard: &consensus.HardState{Commit: 1},
+			Entries: []*consensus.Entry{
+				entry(1, order("dc0", true, 0)),
+				entry(2, order("dc0", false, 1)),
+				entry(3, order("dc0", true, 2)),
+			},
+		})).To(Succeed())
+		for i, command := range []*wire.LogCommand{order("dc0", true, 0), order("dc0", false, 1), order("dc0", true, 2)} {
+			_, err := s.Apply(entry(uint64(i+1), command))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.current()).To(Equal(set("dc0")))
+		}
+	})
+
 	// Guards against a coordinator without its disk that starts tasks at once, or never.
 	It("hold starts without a log on the disk, for half the bound", func() {
 		Expect(e.diskOpened(&consensus.PersistentState{})).To(Succeed())
