Refuse jobs at once whose starts were all rejected

Cause: job.started is set with the first order and never cleared, so a job whose only start was withheld by an evacuation was not refused, and waited for its maximum age. Ruled out: clearing started, which other decisions use (draining, hand-over, status). Change: a job counts as not started for refuseEvacuated and expireQueue if it has no run in flight and all its runs were rejected. A run that was handed over, and a rejection with a loss, count as runs. A start in flight at the planned restart of a draining target was reported as rejected, although the earlier boot may have run it; for jobs that are not stored it is now reported as stopped.

--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -110,7 +110,7 @@
 		return
 	}
 	for _, j := range slices.Clone(c.queue) {
-		if j.started || j.ending || j.Stored || c.servableElsewhere(j) {
+		if !j.refusable() || c.servableElsewhere(j) {
 			continue
 		}
 		c.answerJob(j, NotRun, "no target outside the evacuated data centres: "+strings.Join(sortedKeys(c.evacuations.dataCentres), ", "), evacuatedRetryAfter)
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -160,6 +160,70 @@
 		Expect(h.core.Status().Jobs).To(BeZero())
 	})
 
+	// Guards against callers that wait because the only start of their job was withheld.
+	It("make jobs be refused at once whose starts were all rejected", func() {
+		h.step(time.Second, placement.Tick{})
+		h.core.Step(h.now, placement.Submit{Caller: placement.Caller{Gateway: "g", Ref: 1}, Job: job("0000000000000001", 1)})
+		h.evacuate("dc0")
+		Expect(startsAt(h)).To(BeEmpty())
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(And(HaveField("Outcome", placement.NotRun), HaveField("Reason", ContainSubstring("dc0")))))
+		h.evacuate()
+		h.submit("0000000000000002", 1, 2)
+		start := take[placement.StartOrder](h)[0]
+		h.step(time.Millisecond, placement.OrderResponse{Order: start.Order, Result: placement.Unavailable})
+		h.evacuate("dc0")
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(And(HaveField("Outcome", placement.NotRun), HaveField("Reason", ContainSubstring("dc0")))))
+		Expect(h.core.Status().Jobs).To(BeZero())
+	})
+
+	// Guards against a job that has had no start and waits until its caller gives it up.
+	It("make jobs be refused in time whose starts were all rejected", func() {
+		h.submit("0000000000000001", 1, 1)
+		start := take[placement.StartOrder](h)[0]
+		h.step(0, placement.EvacuationsChanged{Unknown: true})
+		h.step(time.Millisecond, placement.OrderResponse{Order: start.Order, Result: placement.Unavailable})
+		submitted := job("0000000000000001", 1)
+		h.step(submitted.StartTimeout(), placement.Tick{})
+		Expect(take[placement.AnswerJob](h)).To(ConsistOf(And(HaveField("Outcome", placement.NotRun), HaveField("Reason", "no room"))))
+	})
+
+	// Guards against a refusal, which says that the job has not run, of a job that has or
+	// may have run.
+	It("do not make jobs be refused that may have run", func() {
+		h.step(time.Second, placement.Tick{})
+		h.submit("0000000000000001", 1, 1)
+		start := h.confirmStarts()[0]
+		h.step(time.Second, placement.OrderResponse{
+			Order: lastPoll(h, "t").Order, Result: placement.OK, ClockMS: 2200, BootUnixMS: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: start.Task, Run: 1, Kind: placement.EndFailed}},
+		})
+		h.evacuate("dc0")
+		Expect(take[placement.AnswerJob](h)).NotTo(ContainElement(HaveField("Outcome", placement.NotRun)))
+
+		// A target that is draining restarts while a start is on its way.
+		h = newHarness()
+		h.acquireIn("t", "dc0")
+		h.step(time.Second, placement.Tick{})
+		h.submit("0000000000000001", 1, 1)
+		Expect(startsAt(h)).To(Equal([]string{"t"}))
+		draining := description("t", 2)
+		draining.DataCentre, draining.Draining = "dc0", true
+		h.step(0, placement.Heartbeat{Description: draining})
+		restarted := description("t", 1)
+		restarted.DataCentre, restarted.BootUnixMS = "dc0", 9
+		h.evacuate("dc0")
+		h.polls("t")
+		h.step(time.Millisecond, placement.Heartbeat{Description: restarted})
+		for range 3 {
+			for _, poll := range h.polls("t") {
+				h.step(time.Millisecond, placement.OrderResponse{Order: poll.Order, Result: placement.OK, ClockMS: 1000, BootUnixMS: 9})
+			}
+			h.step(100*time.Millisecond, placement.Tick{})
+		}
+		Expect(h.core.Status().Runs).To(BeZero())
+		Expect(take[placement.AnswerJob](h)).NotTo(ContainElement(HaveField("Outcome", placement.NotRun)))
+	})
+
 	// Guards against a refusal of jobs that only wait for capacity, here or elsewhere.
 	It("do not make jobs be refused that fit elsewhere later", func() {
 		h.step(time.Second, placement.Tick{})
--- a/placement/handover.go
+++ b/placement/handover.go
@@ -166,6 +166,7 @@
 		return
 	}
 	homeTask.peer, homeTask.token, homeTask.state, homeTask.target = "", t.token, running, t.ID
+	homeTask.job.mayHaveRun = true
 	r.stopping = r.stopping || homeTask.job.ending
 }
 
--- a/placement/home.go
+++ b/placement/home.go
@@ -24,6 +24,7 @@
 	inFlight    int       // tasks that are starting or running
 	started     bool      // a task may have started
 	begun       bool      // a task has started
+	mayHaveRun  bool      // a run was reported as other than rejected
 	queued      bool
 	ending      bool    // no further starts; waits for the runs to end
 	successor   *Submit // a later submission of the ID, admitted after the end
@@ -124,6 +125,12 @@
 	}
 }
 
+// refusable reports whether a job that is not stored has not run and has no run that
+// may start yet. A rejected run was never started and never will be.
+func (j *job) refusable() bool {
+	return !j.ending && !j.Stored && (!j.started || j.inFlight == 0 && !j.mayHaveRun)
+}
+
 // answerJob answers the caller, at most once.
 func (c *Core) answerJob(j *job, outcome Outcome, reason string, retry time.Duration) {
 	if j.answered {
@@ -292,6 +299,7 @@
 		return
 	}
 	j := t.job
+	j.mayHaveRun = j.mayHaveRun || report.Kind != RunRejected || report.Loss != nil
 	if report.Kind == RunStarted {
 		t.state, t.target, t.token = running, report.Target, max(t.token, report.Token)
 		j.begun = true
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -267,7 +267,7 @@
 		objective, age := j.objective(), c.now-j.submittedAt
 		switch {
 		case j.ending, j.Stored:
-		case !j.started && age >= j.StartTimeout():
+		case j.refusable() && age >= j.StartTimeout():
 			c.answerJob(j, NotRun, "no room", retryAfter)
 			c.endJob(j)
 		case j.started && age >= abortFactor*objective:
--- a/placement/target.go
+++ b/placement/target.go
@@ -40,7 +40,8 @@
 	accompanied bool          // another run has been on the target since the start
 	exclusive   bool          // no other run may be started on the target
 	suspect     bool          // may crash its target
-	crash       *TargetLoss   // of the earlier boot, which may have started the run
+	restarted   bool          // the target's earlier boot may have started the run
+	crash       *TargetLoss   // of that boot, if it may have crashed
 }
 
 // target is a target that this coordinator owns or is about to own.
@@ -202,6 +203,7 @@
 	inFlight := map[runKey]*run{}
 	for key, r := range old.runs {
 		if !r.listed {
+			r.restarted = true
 			inFlight[key] = r
 		}
 	}
@@ -455,6 +457,9 @@
 	report.Ref, report.Target = r.ref, t.ID
 	if report.Kind == RunRejected {
 		report.Loss = r.crash
+		if r.restarted && r.crash == nil && !r.stored {
+			report.Kind = RunStopped // by the planned end of the earlier boot
+		}
 	}
 	c.reportHome(t, r, report)
 	c.availabilityChanged()
