Follow the leader's evacuations while the own log lags

Ruled out: holding starts while the read fails, which would end service without a majority. They are adopted before the applied index is awaited, end a hold, and count as confirmed.

--- a/cluster/evacuations.go
+++ b/cluster/evacuations.go
@@ -51,16 +51,18 @@
 	// known to be committed yet, so that a restart of all coordinators forgets no order.
 	// It is dropped after the first confirmed read.
 	found evacuation.Set
-	// adopted has the states that the leader has applied for orders given here. This
-	// coordinator's own copy of the log may follow later.
+	// adopted has the states that the leader has applied for orders given here, or has
+	// sent in answer to a read. This coordinator's own copy of the log may follow later.
 	adopted evacuation.Set
 	// held means that no start is ordered here until a read is confirmed or holdUntil.
 	held      bool
 	heldAt    time.Duration
 	holdUntil time.Duration
-	confirmed bool          // the last read of the log has succeeded
-	lostAt    time.Duration // when confirmed became false
-	warned    bool          // evacuations_unconfirmed was logged since
+	confirmed bool // the last read has succeeded, of the log or of the leader's set
+	// answeredAt is when the last read began to which the leader sent its set.
+	answeredAt time.Duration
+	lostAt     time.Duration // when confirmed became false
+	warned     bool          // evacuations_unconfirmed was logged since
 }
 
 func newEvacuations(options EvacuationOptions, store *stateStore, now time.Duration) *evacuations {
@@ -157,14 +159,47 @@
 		return // from before a pause
 	}
 	if err != nil {
-		if e.confirmed {
+		if e.confirmed && e.answeredAt < began {
 			e.confirmed, e.lostAt, e.warned = false, boottimeNow(), false
 		}
 		return
 	}
+	e.confirm()
+	e.store.evacuationsChanged.Store(true)
+}
+
+// confirm records that the set in the log is known. The caller holds the lock.
+func (e *evacuations) confirm() {
 	e.found = evacuation.Set{}
 	e.held, e.confirmed = false, true
-	e.store.evacuationsChanged.Store(true)
+}
+
+// leaderAnswered adopts the leader's states, which it has sent in answer to a read that
+// began at a time, and reports whether the set here may have changed. They count before
+// the own copy of the log has them: it does not advance while the disk is stalled or a
+// large snapshot is received. A leader of an earlier version sends none.
+func (e *evacuations) leaderAnswered(began time.Duration, states *wire.EvacuationStates) bool {
+	if !e.enabled() || states == nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var answer evacuation.Set
+	answer.Restore(states.GetStates())
+	changed := e.held || len(e.found.Evacuated()) > 0
+	for _, state := range states.GetStates() {
+		name := state.GetDataCentre()
+		changed = changed || e.adopted.Get(name).Revision < state.GetRevision()
+		e.adopted.Adopt(name, answer.Get(name))
+	}
+	if began >= e.heldAt {
+		e.answeredAt = max(e.answeredAt, began)
+		e.confirm()
+	}
+	if changed {
+		e.store.evacuationsChanged.Store(true)
+	}
+	return changed
 }
 
 // expire ends a hold that has lasted for maxHold. It reports whether the evacuations
--- a/cluster/evacuations_test.go
+++ b/cluster/evacuations_test.go
@@ -149,6 +149,39 @@
 		Expect(e.current()).To(Equal(set()), "the log has a later one")
 	})
 
+	// Guards against a coordinator in touch with the leader that starts tasks in an
+	// evacuated data centre, or holds all starts, because its own log does not advance.
+	It("follow the leader while the own log does not advance", func() {
+		Expect(e.diskOpened(&consensus.PersistentState{Entries: []*consensus.Entry{
+			entry(1, order("dc2", true, 0)), // was not committed
+		}})).To(Succeed())
+		e.paused(2*time.Hour, bound)
+		answer := func(states ...*wire.EvacuationState) *wire.EvacuationStates {
+			return &wire.EvacuationStates{States: states}
+		}
+		e.leaderAnswered(2*time.Hour-1, answer(&wire.EvacuationState{DataCentre: "dc0", Evacuated: true, Revision: 1}))
+		e.leaderAnswered(2*time.Hour, nil) // of an earlier version
+		Expect(e.current()).To(Equal(placement.EvacuationsChanged{DataCentres: []string{"dc0", "dc2"}, Unknown: true}))
+
+		e.leaderAnswered(2*time.Hour, answer(&wire.EvacuationState{DataCentre: "dc0", Evacuated: true, Revision: 3}))
+		e.readDone(2*time.Hour, errors.New("wait for applied index"))
+		Expect(e.current()).To(Equal(set("dc0")), "the answer ends the hold")
+		Expect(e.confirmed).To(BeTrue())
+		e.readDone(2*time.Hour+1, errors.New("no answer"))
+		Expect(e.confirmed).To(BeFalse())
+		e.leaderAnswered(2*time.Hour+2, answer(&wire.EvacuationState{DataCentre: "dc0", Revision: 4}))
+		Expect(e.current()).To(Equal(set()))
+		Expect(e.confirmed).To(BeTrue())
+	})
+
+	// Guards against an answer of the leader without its evacuations.
+	It("are in the leader's answer, also if there are none", func() {
+		Expect(s.leaderEvacuations()).NotTo(BeNil())
+		_, err := s.Apply(entry(1, order("dc0", true, 0)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.leaderEvacuations().GetStates()).To(ConsistOf(HaveField("DataCentre", "dc0")))
+	})
+
 	// Guards against a change that does not reach the core.
 	It("are marked as changed by an order and a snapshot", func() {
 		Expect(s.evacuationsChanged.Swap(false)).To(BeTrue(), "the hold at the start")
--- a/cluster/proposals.go
+++ b/cluster/proposals.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hawthornshore.example/consensus/node"
+	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
 
@@ -85,14 +86,14 @@
 // acknowledged before the call.
 func (l *logNode) readBarrier(ctx context.Context) error {
 	startedAt := boottimeNow()
-	err := l.readToEnd(ctx)
+	err := l.readToEnd(ctx, startedAt)
 	if err == nil {
 		l.catchUp.confirm(startedAt)
 	}
 	return err
 }
 
-func (l *logNode) readToEnd(ctx context.Context) error {
+func (l *logNode) readToEnd(ctx context.Context, startedAt time.Duration) error {
 	n := l.node.Load()
 	if n == nil {
 		return jujuerrors.Annotate(ErrNoQuorum, "data folder is not open")
@@ -107,10 +108,13 @@
 	if err != nil {
 		return jujuerrors.Annotate(err, "read the leader's applied index")
 	}
+	if l.coordinator.evacuations.leaderAnswered(startedAt, reply.GetLogReadReply().GetEvacuations()) {
+		l.coordinator.loop.push(placement.Tick{}) // wakes the loop, which passes the set to the core
+	}
 	return l.awaitApplied(ctx, reply.GetLogReadReply().GetIndex())
 }
 
-// readIndex returns the leader's applied index after a read barrier.
+// readIndex returns the leader's applied index and evacuations after a read barrier.
 func (l *logNode) readIndex(ctx context.Context) (*wire.LogReadReply, error) {
 	n := l.node.Load()
 	if n == nil {
@@ -119,7 +123,7 @@
 	if err := n.ReadBarrier(ctx); err != nil {
 		return nil, jujuerrors.Annotate(err, "read barrier")
 	}
-	return &wire.LogReadReply{Index: l.progress.applied()}, nil
+	return &wire.LogReadReply{Index: l.progress.applied(), Evacuations: l.store.leaderEvacuations()}, nil
 }
 
 // awaitApplied returns once this coordinator has applied the log up to an index.
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -60,6 +60,13 @@
 	return s.evacuations.Get(dataCentre)
 }
 
+// leaderEvacuations returns the states of all data centres for LogReadReply.
+func (s *stateStore) leaderEvacuations() *wire.EvacuationStates {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return &wire.EvacuationStates{States: s.evacuations.Snapshot()}
+}
+
 // mergedEvacuations returns the evacuations of the log, and those of another set that
 // have higher revisions.
 func (s *stateStore) mergedEvacuations(other *evacuation.Set) evacuation.Set {
