Protect targets that are cold again in the same boot

Cause: warmedUp was never reset, so a target of a data centre that returned a second time in the same boot was not considered cold, and could be flooded. Ruled out: resetting with each heartbeat that reports a cold time, which would undo the end of the cold time by a run that has ended in time. Change: a heartbeat without a cold time, or with an end that is more than a second later than the one reported before, begins a new cold time. A second is chosen for heartbeats that arrive late, not measured; an error costs at most one limited cold time.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -9,6 +9,9 @@
 	// coldRuns is how many runs a cold target has at most: one for each quarter of its
 	// capacity.
 	coldRuns = 4
+	// coldEndTolerance is by how much the reported end of one cold time may be later in
+	// some heartbeats than in others, because they arrive late.
+	coldEndTolerance = time.Second
 )
 
 // ColdRule decides when a target that reports itself as cold counts as warm. With the
@@ -24,13 +27,18 @@
 
 // setCold records how long a target will be cold, as it reports.
 func (c *Core) setCold(t *target, remaining time.Duration) {
-	if !c.options.Cold.enabled() || t.warmedUp {
+	if !c.options.Cold.enabled() {
 		return
 	}
+	end := c.now + remaining
+	if t.warmedUp && remaining > 0 && end <= t.reportedColdUntil+coldEndTolerance {
+		return
+	}
+	t.warmedUp = false // that cold time is over, or it is another one
 	if (remaining > 0) != (t.Cold > 0) {
 		c.availabilityChanged()
 	}
-	t.Cold, t.coldUntil = remaining, c.now+remaining
+	t.Cold, t.coldUntil, t.reportedColdUntil = remaining, end, end
 }
 
 // cold reports whether a target is slow because it has been started or returned to
--- a/placement/evacuation_test.go
+++ b/placement/evacuation_test.go
@@ -300,6 +300,35 @@
 		Expect(h.events()).To(ContainElement("target_warm"))
 	})
 
+	// Guards against a data centre that returns to service a second time in the same boot
+	// of its targets and is flooded.
+	DescribeTable("are cold again after they were warm", func(later ...time.Duration) {
+		h := coldHarness(rule)
+		h.submit("0000000000000001", 1, 1)
+		start := h.confirmStarts()[0]
+		h.step(10*time.Millisecond, placement.OrderResponse{
+			Order: lastPoll(h, "cold").Order, Result: placement.OK, ClockMS: 1200, BootUnixMS: 7,
+			Ended: []placement.EndedEntry{{Number: 1, Task: start.Task, Run: 1, Kind: placement.EndDone}},
+		})
+		Expect(h.events()).To(ContainElement("target_warm"))
+		heartbeat := func(sequence uint64, remaining time.Duration) {
+			d := description("cold", sequence)
+			d.Cold, d.Capacity.CPUMillis = remaining, 200_000
+			h.step(0, placement.Heartbeat{Description: d})
+		}
+		heartbeat(2, 100*time.Millisecond)
+		Expect(h.core.AvailableTargets()).To(ConsistOf(HaveField("Cold", false)), "the same cold time, reported late")
+		for i, remaining := range later {
+			heartbeat(uint64(i+3), remaining)
+		}
+		Expect(h.core.AvailableTargets()).To(ConsistOf(HaveField("Cold", true)))
+		h.submit("0000000000000002", 9, 2)
+		Expect(startsAt(h)).To(HaveLen(4))
+	},
+		Entry("after a heartbeat without a cold time", time.Duration(0), 100*time.Millisecond),
+		Entry("with a later end of the cold time", 3*time.Second),
+	)
+
 	// Guards against a limit that outlasts the cold time.
 	It("are warm after their time", func() {
 		h := coldHarness(rule)
--- a/placement/target.go
+++ b/placement/target.go
@@ -74,7 +74,9 @@
 	reservedUntil  time.Duration // until then only a run that has to be alone may be started
 	evacuated      bool          // its data centre is, see updateEvacuated
 	coldUntil      time.Duration // slow until then
-	warmedUp       bool          // has ended a run in the expected time in this boot
+	// reportedColdUntil is the end of the cold time as last reported before warmedUp.
+	reportedColdUntil time.Duration
+	warmedUp          bool // has ended a run in the expected time in this cold time
 }
 
 func (t *target) ref() TargetRef { return TargetRef{ID: t.ID, Address: t.Address} }
