--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -303,7 +303,7 @@
 		switch {
 		case j.ending, j.Stored:
 		case !j.started && c.costOrder != nil: // applyCostOrder
-		case !j.started && age >= j.StartTimeout():
+		case j.refusable() && age >= c.refusalAge(j):
 			c.answerJob(j, NotRun, "no room", retryAfter)
 			c.endJob(j)
 		case j.started && age >= abortFactor*objective:
@@ -316,6 +316,16 @@
 	}
 }
 
+// refusalAge returns the age from which a job that no target has started is refused. The
+// cost order decides on jobs without any order itself; one whose starts were all
+// rejected is kept until it can no longer end in time.
+func (c *Core) refusalAge(j *job) time.Duration {
+	if c.costOrder != nil {
+		return j.objective()
+	}
+	return j.StartTimeout()
+}
+
 func (c *Core) dequeue(j *job) {
 	if j.queued {
 		j.queued = false
--- a/placement/target.go
+++ b/placement/target.go
@@ -40,7 +40,8 @@
 	accompanied     bool          // another run has been on the target since the start
 	exclusive       bool          // no other run may be started on the target
 	suspect         bool          // may crash its target
-	crash           *TargetLoss   // of the earlier boot, which may have started the run
+	restarted       bool          // the target's earlier boot may have started the run
+	crash           *TargetLoss   // of that boot, if it may have crashed
 	offRack         bool          // away from the rack of its data, where it takes longer
 	measured        bool          // its start was confirmed at once, so that its run time is known at its end
 	progressCounted bool          // its progress has counted for the target's speed
@@ -77,7 +78,9 @@
 	reservedUntil  time.Duration // until then only a run that has to be alone may be started
 	evacuated      bool          // its data centre is, see updateEvacuated
 	coldUntil      time.Duration // slow until then
-	warmedUp       bool          // has ended a run in the expected time in this boot
+	// reportedColdUntil is the end of the cold time as last reported before warmedUp.
+	reportedColdUntil time.Duration
+	warmedUp          bool // has ended a run in the expected time in this cold time
 }
 
 func (t *target) ref() TargetRef { return TargetRef{ID: t.ID, Address: t.Address} }
@@ -206,6 +209,7 @@
 	inFlight := map[runKey]*run{}
 	for key, r := range old.runs {
 		if !r.listed {
+			r.restarted = true
 			inFlight[key] = r
 		}
 	}
@@ -460,6 +464,9 @@
 	report.Ref, report.Target = r.ref, t.ID
 	if report.Kind == RunRejected {
 		report.Loss = r.crash
+		if r.restarted && r.crash == nil && !r.stored {
+			report.Kind = RunStopped // by the planned end of the earlier boot
+		}
 	}
 	c.reportHome(t, r, report)
 	c.availabilityChanged()
