--- a/cluster/availability_test.go
+++ b/cluster/availability_test.go
@@ -68,28 +68,4 @@
 		Expect(sends(1350)).To(BeTrue())
 		Expect(sends(0)).To(BeTrue())
 	})
-
-	// Guards against homes that keep a target which is gone: the correction after a
-	// rejection made the publisher forget that it had announced the target.
-	It("name a corrected target that is no longer available as removed", func() {
-		p := newAvailabilityPublisher()
-		p.updates([]placement.AvailableTarget{available("t", 8), available("u", 8)}, false, []string{"c1"})
-		p.correct("t")
-		update := p.updates([]placement.AvailableTarget{available("u", 8)}, false, []string{"c1"})["c1"]
-		Expect(update.GetRemoved()).To(HaveExactElements("t"))
-	})
-
-	// Guards against one peer's placements in the update of another one, since peers
-	// share the rest of the update.
-	It("name the placements of their receiver that they include", func() {
-		p := newAvailabilityPublisher()
-		updates := p.updates([]placement.AvailableTarget{available("t", 8)}, true, []string{"c1", "c2"})
-		first := withPlacements(updates["c1"], 7, map[string]uint32{"c1": 3})
-		second := withPlacements(updates["c2"], 0, map[string]uint32{"c1": 3})
-		Expect(first.GetRooms()).To(HaveLen(1))
-		Expect(first.GetDraining()).To(BeTrue())
-		Expect(first.IncludedRef).To(HaveValue(Equal(uint64(7))))
-		Expect(first.GetDemand()).To(Equal(map[string]uint32{"c1": 3}))
-		Expect(second.IncludedRef).To(HaveValue(BeZero()), "0 differs from an absent number, as the earlier version sends it")
-	})
 })
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -206,10 +206,8 @@
 		}
 		c.send(e.Caller.Gateway, &wire.Envelope{Body: &wire.Envelope_SubmissionAnswer{SubmissionAnswer: answerToWire(&e)}})
 	case placement.RequestPlacements:
-		placementsRequested.Add(len(e.Placements))
 		c.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_PlacementRequest{PlacementRequest: placementsToWire(e.Placements)}})
 	case placement.SendReports:
-		countRejections(e.Reports)
 		c.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_PlacementReports{PlacementReports: reportsToWire(e.Reports)}})
 	case placement.SendStops:
 		c.send(e.Peer, &wire.Envelope{Body: &wire.Envelope_PlacementStops{PlacementStops: &wire.PlacementStops{Refs: e.Refs}}})
@@ -245,9 +243,7 @@
 	c.mu.Lock()
 	draining := c.draining
 	c.mu.Unlock()
-	demand := l.core.Demand()
 	for peer, update := range l.publisher.updates(l.core.AvailableTargets(), draining, c.coordinators()) {
-		update = withPlacements(update, l.core.IncludedRef(peer), demand)
 		if !c.send(peer, &wire.Envelope{Body: &wire.Envelope_RoomUpdate{RoomUpdate: update}}) {
 			l.publisher.forget(peer)
 			l.availabilityDirty = true
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -28,7 +28,6 @@
 		c.loop.push(placement.PeerAvailability{
 			Peer: peer, Draining: body.RoomUpdate.GetDraining(), Targets: availabilityFromWire(body.RoomUpdate.GetRooms()),
 			Partial: body.RoomUpdate.GetPartial(), Removed: body.RoomUpdate.GetRemoved(),
-			IncludedRef: body.RoomUpdate.IncludedRef, Demand: body.RoomUpdate.GetDemand(),
 		})
 	case *wire.Envelope_PlacementRequest:
 		c.loop.push(placement.PlacementsRequested{Peer: peer, Placements: placementsFromWire(body.PlacementRequest)})
--- a/placement/core.go
+++ b/placement/core.go
@@ -46,7 +46,6 @@
 	linked map[string]bool
 	// peerHeardAt is the time of the last message of each linked coordinator.
 	peerHeardAt map[string]time.Duration
-	requesters  map[string]requester      // linked coordinators that have requested placements
 	reports     map[string][]queuedReport // by peer
 	handOvers   map[string][]sentHandOver
 	draining    bool
@@ -69,7 +68,6 @@
 	lastExpiry        time.Duration
 	availabilityDirty bool // available targets have changed since the last Ready
 	scheduleDue       bool
-	keptForOthers     bool // the last search left capacity to other homes
 	effects           []Effect
 }
 
@@ -91,7 +89,6 @@
 		peers:         map[string]*peer{},
 		linked:        map[string]bool{},
 		peerHeardAt:   map[string]time.Duration{},
-		requesters:    map[string]requester{},
 		reports:       map[string][]queuedReport{},
 		handOvers:     map[string][]sentHandOver{},
 		remembered:    map[string]rememberedLosses{},
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -94,7 +94,7 @@
 func (c *Core) rejectionReason(p *Placement) string {
 	t := c.targets[p.Target]
 	if t == nil || !t.evacuated {
-		return ReasonNoRoom
+		return "no room"
 	}
 	reason := c.evacuationReason(t)
 	c.logDecision(Decision{Event: "start_withheld", Task: p.Task, Target: t.ID, Reason: reason, Value: int64(p.Run)})
--- a/placement/events.go
+++ b/placement/events.go
@@ -49,11 +49,6 @@
 	Targets  []AvailableTarget
 	Partial  bool
 	Removed  []string // targets that are no longer available, if Partial is set
-	// IncludedRef is the ref of the last placement of the receiver that the update
-	// takes into account; nil: the peer has an earlier version.
-	IncludedRef *uint64
-	// Demand is how many placements each coordinator has requested there of late.
-	Demand map[string]uint32
 }
 
 // PeerConnected reports a new link to another coordinator, which has not
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -9,7 +9,6 @@
 	targets  []AvailableTarget // its available targets, less what was placed on them since
 	speed    targetSpeed       // slowness of its targets by the speeds that it sends, compared with those here
 	silent   bool              // has not answered a placement in time; no more until its next message
-	peerView
 }
 
 func (c *Core) peerAvailability(e PeerAvailability) {
@@ -19,13 +18,11 @@
 		p := &peer{name: e.Peer, draining: e.Draining, targets: e.Targets}
 		if old := c.peers[e.Peer]; old != nil {
 			p.speed = old.speed
-			p.pending = old.pending
 			if len(e.Targets) < len(old.targets) {
 				c.evacuations.withdrawnAt = c.now
 			}
 		}
 		c.peers[e.Peer] = p
-		p.updated(c.now, &e)
 		return
 	}
 	if p := c.peers[e.Peer]; p != nil { // otherwise all targets follow over a new link
@@ -34,7 +31,6 @@
 			c.evacuations.withdrawnAt = c.now
 		}
 		p.update(e.Targets, e.Removed)
-		p.updated(c.now, &e)
 	}
 }
 
@@ -94,7 +90,6 @@
 	c.evacuations.withdrawnAt = c.now
 	delete(c.linked, name)
 	delete(c.peerHeardAt, name)
-	delete(c.requesters, name)
 	c.failHandOvers(name)
 	for _, id := range sortedKeys(c.targets) {
 		t := c.targets[id]
@@ -125,7 +120,6 @@
 func (c *Core) placementsRequested(e PlacementsRequested) {
 	for i := range e.Placements {
 		p := &e.Placements[i]
-		c.notePlacementRequest(e.Peer, p.Ref)
 		t := c.targetFor(p)
 		if t == nil || t.ID != p.Target {
 			// The home has taken the task's need off the target that it has chosen.
@@ -194,7 +188,6 @@
 		}
 		if report.Kind == RunRejected {
 			c.clearFree(e.Peer, report.Target)
-			c.peers[e.Peer].rejected(t, &report)
 		}
 		if report.Kind == RunStarted && report.Token < t.token {
 			continue // of an earlier owner
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -144,9 +144,7 @@
 		return false
 	}
 	if !ok {
-		if !c.keptForOthers { // which depends on the job
-			c.costOrder.recordFull(j, t, step)
-		}
+		c.costOrder.recordFull(j, t, step)
 		return false
 	}
 	c.placeOn(&best, t, false, requests)
@@ -183,7 +181,6 @@
 	best.remote.Idle = false
 	t.peer, t.target = best.peer.name, best.remote.Target
 	t.speedClass, t.offRack = sentClass(best.remote), !onRack(best.remote.Labels, step.Rack)
-	best.peer.pending = append(best.peer.pending, pendingPlacement{t.ref, t.target, step.Need})
 	requests[t.peer] = append(requests[t.peer], Placement{
 		Ref: t.ref, Task: t.name(), Run: t.runs, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Need: step.Need, Expected: step.Expected, Requirement: step.Requirement, Rack: step.Rack,
@@ -194,7 +191,6 @@
 // bestCandidate returns the best target for a task: near its data, healthy, owned
 // here, and with the least capacity left over.
 func (c *Core) bestCandidate(j *job, t *task, step *Step) (candidate, bool) {
-	c.keptForOthers = false
 	var best candidate
 	var speeds speedCosts
 	found := false
@@ -215,10 +211,9 @@
 		}
 	}
 	for _, p := range c.peers {
-		if p.silent || p.lacksRoom(j, step) {
+		if p.silent {
 			continue
 		}
-		level := unknown
 		for i := range p.targets {
 			remote := &p.targets[i]
 			if remote.Service != j.Service || !matches(remote.Labels, step.Requirement) ||
@@ -231,12 +226,8 @@
 			}
 			option.score += remote.coldCost()
 			option.score += speeds.of(c, t, step, c.remoteClass(p, remote))
-			switch {
-			case found && !option.better(&best):
-			case level == ample || c.mayUse(p, remote, &level, j, step):
+			if !found || option.better(&best) {
 				best, found = option, true
-			default:
-				c.keptForOthers = true
 			}
 		}
 	}
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -74,7 +74,6 @@
 	log          *simLog
 	crashes      *simCrashes
 	evacuations  simEvacuations
-	views        *simViews // nil: available targets are sent in full at each change
 }
 
 type simCoordinator struct {
@@ -223,7 +222,6 @@
 		s.trace(c, "->", effect)
 		s.effect(c, effect)
 	}
-	s.views.publish(s, c)
 }
 
 func (s *simulation) coordinator(name string) *simCoordinator {
@@ -257,9 +255,6 @@
 }
 
 func (s *simulation) effect(c *simCoordinator, effect placement.Effect) {
-	if s.views.observe(s, c, effect) {
-		return
-	}
 	switch e := effect.(type) {
 	case placement.StartOrder:
 		if s.started != nil {
