Announce the removal of a target after its correction

Cause: after a rejection the publisher forgot what it had sent of the target. If the target was no longer available at the next update, it was not named as removed, so the other homes kept it with free capacity and sent placements that were rejected.

Ruled out: naming each unknown target as removed; the publisher has no record of them. The entry is now kept with a value that differs from any target.

Result: the new spec fails on the earlier code and holds now.

--- a/cluster/availability.go
+++ b/cluster/availability.go
@@ -23,8 +23,13 @@
 // forget makes the next update for a peer a complete one.
 func (p *availabilityPublisher) forget(peer string) { delete(p.complete, peer) }
 
-// correct makes the next update contain a target even if it has not changed.
-func (p *availabilityPublisher) correct(target string) { delete(p.sent, target) }
+// correct makes the next update contain a target even if it has not changed, or its
+// removal if it is no longer available.
+func (p *availabilityPublisher) correct(target string) {
+	if _, known := p.sent[target]; known {
+		p.sent[target] = placement.AvailableTarget{}
+	}
+}
 
 // updates returns the update for each of the peers that needs one.
 func (p *availabilityPublisher) updates(current []placement.AvailableTarget, draining bool, peers []string) map[string]*wire.RoomUpdate {
--- a/cluster/availability_test.go
+++ b/cluster/availability_test.go
@@ -68,4 +68,14 @@
 		Expect(sends(1350)).To(BeTrue())
 		Expect(sends(0)).To(BeTrue())
 	})
+
+	// Guards against homes that keep a target which is gone: the correction after a
+	// rejection made the publisher forget that it had announced the target.
+	It("name a corrected target that is no longer available as removed", func() {
+		p := newAvailabilityPublisher()
+		p.updates([]placement.AvailableTarget{available("t", 8), available("u", 8)}, false, []string{"c1"})
+		p.correct("t")
+		update := p.updates([]placement.AvailableTarget{available("u", 8)}, false, []string{"c1"})["c1"]
+		Expect(update.GetRemoved()).To(HaveExactElements("t"))
+	})
 })
