--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -195,8 +195,8 @@
 	var speeds speedCosts
 	found := false
 	for _, owned := range c.targets {
-		if owned.Service != j.Service || !matches(owned.Labels, step.Requirement) ||
-			!step.Need.Fits(owned.free()) || !owned.usable(c.now) || c.atPerTargetLimit(t, step, owned.ID) ||
+		if !step.Need.Fits(owned.free()) || owned.Service != j.Service ||
+			!matches(owned.Labels, step.Requirement) || !owned.usable(c.now) || c.atPerTargetLimit(t, step, owned.ID) ||
 			t.suspected() && owned.hasSuspect() {
 			continue
 		}
@@ -216,8 +216,9 @@
 		}
 		for i := range p.targets {
 			remote := &p.targets[i]
-			if remote.Service != j.Service || !matches(remote.Labels, step.Requirement) ||
-				!step.Need.Fits(remote.Free) || c.atPerTargetLimit(t, step, remote.Target) {
+			// The cheapest check that excludes most targets comes first.
+			if !step.Need.Fits(remote.Free) || remote.Service != j.Service ||
+				!matches(remote.Labels, step.Requirement) || c.atPerTargetLimit(t, step, remote.Target) {
 				continue
 			}
 			option := candidate{peer: p, remote: remote, score: remoteCost + c.score(t, step, remote.Target, remote.Labels, remote.Free)}
