Name a time to return when every coordinator has refused a job

Cause: found in the read-through. A coordinator's refusal in favour of another one carries a delay of 1 ms, which reached the caller as retry-after-ms when no other coordinator took the job, so that callers of a silent log were told to return at once. Ruled out: the header, which is at least one second. Change: the gateway answers with the delay of its other refusals then. Result: the new spec fails before (0 instead of 1 s) and passes; cluster passes with the race detector.

--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -208,6 +208,9 @@
 			break
 		}
 	}
+	if answer.Outcome == placement.NotRun && answer.RetryAfter <= placement.RetryElsewhere {
+		answer.RetryAfter = notRunRetryDelay // no other coordinator is left to try
+	}
 	return answer
 }
 
--- a/cluster/gateway_test.go
+++ b/cluster/gateway_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
 
@@ -72,6 +73,15 @@
 		Expect(g.awaitCoordinators(context.Background(), time.Hour)).To(HaveExactElements("2"))
 	})
 
+	// Guards against a caller that is told to return at once because each coordinator
+	// has refused the job in favour of another one.
+	It("name a time to return when no coordinator takes them", func() {
+		clear(g.pending)
+		answer := g.submit(context.Background(), &placement.Job{ID: "00000000000000aa"})
+		Expect(answer.Outcome).To(Equal(placement.NotRun))
+		Expect(answer.RetryAfter).To(Equal(notRunRetryDelay))
+	})
+
 	// Guards against an earlier version, which acknowledges nothing, being left out
 	// during an upgrade.
 	It("still go to one that has never acknowledged a submission", func() {
