--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -38,15 +38,14 @@
 	defer stop()
 	group, ctx := errgroup.WithContext(running)
 	group.Go(func() error { return coordinator.Run(ctx) })
-	control := &http.Server{
-		Handler:           platform.NewControlHandler(coordinator, p.logger),
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
-	if err := startServer(ctx, group, s.ControlAddress, control); err != nil {
+	clients := p.newClients(coordinator.Limits)
+	group.Go(func() error { return clients.pool.Run(ctx) })
+	control := &http.Server{Handler: platform.NewControlHandler(coordinator, p.logger)}
+	if err := clients.serve(ctx, group, "control", s.ControlAddress, clients.connections, control); err != nil {
 		return err
 	}
 	address, metrics := p.metricsServer()
-	if err := startServer(ctx, group, address, metrics); err != nil {
+	if err := clients.serve(ctx, group, "metrics", address, sideConnections, metrics); err != nil {
 		return err
 	}
 	group.Go(func() error {
--- a/apps/hawthorn-platform/gateway.go
+++ b/apps/hawthorn-platform/gateway.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// idleTimeout closes idle connections of callers.
-	idleTimeout = 15 * time.Second
 	// refuseAfterGraceShare is the share of the grace period during which a stopping
 	// gateway still accepts requests: the platform stops sending connections only
 	// after two failed readiness checks a second apart.
@@ -44,20 +42,18 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(running)
-	callerServer := &http.Server{
-		Handler:           platform.NewCallerHandler(gateway, p.logger),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-	if err := startServer(ctx, group, s.CallerAddress, callerServer); err != nil {
+	clients := p.newClients(gateway.Limits)
+	group.Go(func() error { return clients.pool.Run(ctx) })
+	callerServer := &http.Server{Handler: platform.NewCallerHandler(gateway, p.logger)}
+	if err := clients.serve(ctx, group, "callers", s.CallerAddress, clients.connections, callerServer); err != nil {
 		return err
 	}
-	readiness := &http.Server{Handler: platform.NewReadinessHandler(gateway), ReadHeaderTimeout: readHeaderTimeout}
-	if err := startServer(ctx, group, s.ReadinessAddress, readiness); err != nil {
+	readiness := &http.Server{Handler: platform.NewReadinessHandler(gateway)}
+	if err := clients.serve(ctx, group, "readiness", s.ReadinessAddress, sideConnections, readiness); err != nil {
 		return err
 	}
 	address, metrics := p.metricsServer()
-	if err := startServer(ctx, group, address, metrics); err != nil {
+	if err := clients.serve(ctx, group, "metrics", address, sideConnections, metrics); err != nil {
 		return err
 	}
 	group.Go(func() error { return gateway.Run(ctx) })
@@ -67,7 +63,7 @@
 	group.Go(func() error {
 		select {
 		case <-stopping.Done():
-			p.drainGateway(gateway, callerServer)
+			p.drainGateway(gateway, callerServer, clients)
 		case <-ctx.Done():
 		}
 		stop()
@@ -78,7 +74,7 @@
 
 // drainGateway stops a gateway without aborting requests: it reports not ready,
 // serves until the platform has stopped routing to it, and finishes open requests.
-func (p *process) drainGateway(gateway *cluster.Gateway, callerServer *http.Server) {
+func (p *process) drainGateway(gateway *cluster.Gateway, callerServer *http.Server, clients *clients) {
 	begin := time.Now()
 	grace := p.settings.StopGrace
 	p.logger.Info().Str("event", "drain_started").Dur("grace_ms", grace).Send()
@@ -86,6 +82,7 @@
 	callerServer.SetKeepAlivesEnabled(false)
 	time.Sleep(time.Duration(refuseAfterGraceShare * float64(grace)))
 	gateway.RejectJobs()
+	clients.pool.Drain()
 	for gateway.InFlight() > 0 && time.Since(begin) < time.Duration(drainGraceShare*float64(grace)) {
 		time.Sleep(drainPollInterval)
 	}
--- a/apps/hawthorn-platform/process.go
+++ b/apps/hawthorn-platform/process.go
@@ -14,9 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/juju/errors"
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/logging"
 	"hawthornshore.example/platform"
@@ -40,6 +38,8 @@
 	logWriter *logging.RateLimitedWriter
 	stopLog   chan struct{}
 	logDone   chan error
+
+	writeClientMetrics func(io.Writer)
 }
 
 // startProcess reads the settings and prepares the runtime.
@@ -116,39 +116,18 @@
 	return info.ModTime()
 }
 
-// startServer listens on the address and serves in the group until the context
-// ends.
-func startServer(ctx context.Context, group *errgroup.Group, address string, server *http.Server) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Annotatef(err, "listen on %s", address)
-	}
-	server.ErrorLog = nil // the standard logger: errors go to stderr, without a rate limit
-	group.Go(func() error {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			return errors.Annotatef(err, "serve %s", address)
-		}
-		return nil
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return nil
-}
-
 // metricsServer returns the address and the server of the metrics.
 func (p *process) metricsServer() (string, *http.Server) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		writeMetrics(w)
+		p.writeMetrics(w)
 	})
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.MetricsPort)), &http.Server{
-		Handler: mux, ReadHeaderTimeout: readHeaderTimeout,
+		Handler: mux,
 	}
 }
 
-func writeMetrics(w io.Writer) { metrics.WritePrometheus(w, true) }
-
-// readHeaderTimeout bounds the time to read a request's header.
-const readHeaderTimeout = 3 * time.Second
+func (p *process) writeMetrics(w io.Writer) {
+	metrics.WritePrometheus(w, true)
+	p.writeClientMetrics(w)
+}
--- a/integration/crowds/largest_test.go
+++ b/integration/crowds/largest_test.go
@@ -32,6 +32,17 @@
 	return append(request, "\r\n"+end+body...)
 }
 
+// maxDocument is the largest size of the operators' document.
+const maxDocument = 8 << 20
+
+// document returns a request with an operators' document of at least the given size.
+func document(version int, limits string, size int) []byte {
+	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":"desk.example","path-prefix":"/work/","timeout-ms":1500,`+
+		`"latency-slo-ms":500,"priority":1,"service":"desk","max-attempts":3,"stretch":3}],"services":[{"name":"desk"}],"limits":%s`, version, limits)
+	body += strings.Repeat(" ", max(size-len(body)-1, 0)) + "}"
+	return append(head("/Config.Replace", fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))), body...)
+}
+
 // roundTrip sends a request and returns the status of its response.
 func roundTrip(ctx context.Context, address string, request []byte) (int, error) {
 	var dialer net.Dialer
