Log and count how the document reaches gateways

Nothing told the hypotheses of the late configurations apart: document_adopted had neither the sender nor the delay, copies were not counted, and a link that is too slow for what is sent looked like a silent peer.

Gateways now log from whom a version came, since when they have known that they lacked one (behind_ms) and the newest version that they have heard of; document_behind reports a lag of over a second once. Coordinators log the time from commit to disk. Metrics count copies, bytes of documents and of links. The cause of a lost link has the time since the last byte, not only since the last whole message.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -262,7 +262,10 @@
 		}
 	}
 	c.mu.Unlock()
-	c.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).Send()
+	delay := c.logNode.store.documentSyncDelay()
+	observeDocument(document.Version, delay)
+	c.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).
+		Int("bytes", len(document.Body)).Int64("behind_ms", ms(delay)).Send()
 	for _, name := range localGateways {
 		c.pushDocument(name)
 	}
@@ -285,9 +288,11 @@
 	if !stale {
 		return
 	}
-	c.send(name, &wire.Envelope{Body: &wire.Envelope_DocumentState{
+	if c.send(name, &wire.Envelope{Body: &wire.Envelope_DocumentState{
 		DocumentState: &wire.DocumentState{Version: document.Version, Body: document.Body},
-	}})
+	}}) {
+		documentBytesSent.Add(len(document.Body))
+	}
 }
 
 // send queues a one-way message and reports whether it was queued. The message is
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"hawthornshore.example/cluster/documents"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -32,6 +33,8 @@
 
 	mu           sync.Mutex
 	deployment   *Deployment
+	documentLag  documents.Lag
+	lagReported  bool // document_behind was logged for the present lag
 	coordinators map[string]*linkedCoordinator
 	dialled      map[string]bool
 	lostAt       map[string]time.Time // when the last link to a coordinator failed
@@ -348,6 +351,7 @@
 			c.draining = body.Heartbeat.GetDraining()
 		}
 		g.mu.Unlock()
+		g.documentAnnounced(hello.GetInstance(), body.Heartbeat.GetConfigVersion())
 	case *wire.Envelope_RoomUpdate:
 		g.mu.Lock()
 		if c := g.coordinators[hello.GetInstance()]; c != nil {
@@ -357,7 +361,8 @@
 	case *wire.Envelope_Directory:
 		g.addCoordinators(directoryNames(body.Directory))
 	case *wire.Envelope_DocumentState:
-		g.applyDocument(Document{Version: body.DocumentState.GetVersion(), Body: body.DocumentState.GetBody()})
+		g.documentAnnounced(hello.GetInstance(), body.DocumentState.GetVersion())
+		g.applyDocument(hello.GetInstance(), Document{Version: body.DocumentState.GetVersion(), Body: body.DocumentState.GetBody()})
 	case *wire.Envelope_SubmissionReceived:
 		g.submissionReceived(hello.GetInstance(), body.SubmissionReceived.GetRef())
 	case *wire.Envelope_SubmissionAnswer:
@@ -413,14 +418,41 @@
 	}
 }
 
+// documentBehindAfter is the lag of the document after which it is logged. Callers are
+// promised that a change is in force within 2 s and more.
+const documentBehindAfter = time.Second
+
+// documentAnnounced records that a coordinator holds a version of the document.
+func (g *Gateway) documentAnnounced(peer string, version uint64) {
+	now := time.Now()
+	g.mu.Lock()
+	g.documentLag.Announced(now, version)
+	behind, newest := g.documentLag.Behind(now), g.documentLag.Newest()
+	report := behind > documentBehindAfter && !g.lagReported
+	g.lagReported = g.lagReported || report
+	held := g.deployment
+	g.mu.Unlock()
+	if !report {
+		return
+	}
+	event := g.options.Logger.Warn().Str("event", "document_behind").Str("peer", peer).
+		Uint64("newest", newest).Int64("behind_ms", ms(behind))
+	if held != nil {
+		event = event.Uint64("version", held.Version)
+	}
+	event.Send()
+}
+
 // applyDocument applies a newer document.
-func (g *Gateway) applyDocument(document Document) {
+func (g *Gateway) applyDocument(peer string, document Document) {
 	g.mu.Lock()
 	old := g.deployment
 	g.mu.Unlock()
 	if old != nil && old.Version >= document.Version {
+		documentsReceived(documentIgnored).Inc()
 		return
 	}
+	documentsReceived(documentAdopted).Inc()
 	deployment, err := g.options.Decode(document.Body)
 	if err != nil {
 		g.options.Logger.Error().Str("event", "document_unreadable").Uint64("version", document.Version).Err(err).Send()
@@ -431,9 +463,13 @@
 	if g.deployment == nil || g.deployment.Version < deployment.Version {
 		g.deployment = deployment
 	}
+	lag, newest := g.documentLag.Adopted(time.Now(), deployment.Version), g.documentLag.Newest()
+	g.lagReported = false
 	g.mu.Unlock()
-	g.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).
-		Int("queues", len(deployment.Queues)).Send()
+	observeDocument(document.Version, lag)
+	g.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).Str("peer", peer).
+		Int("queues", len(deployment.Queues)).Int("bytes", len(document.Body)).
+		Int64("behind_ms", ms(lag)).Uint64("newest", newest).Send()
 }
 
 // HandleCall returns an error: a gateway serves no calls.
--- a/cluster/links.go
+++ b/cluster/links.go
@@ -32,7 +32,7 @@
 
 // newMesh returns the mesh of a process. Without a listener it only dials.
 func newMesh(hello *wire.Hello, listener net.Listener, handler wire.Handler) *wire.Mesh {
-	return wire.NewMesh(wire.MeshOptions{
+	mesh := wire.NewMesh(wire.MeshOptions{
 		Self:              hello,
 		Listener:          listener,
 		Handler:           handler,
@@ -41,6 +41,8 @@
 		Timeout:           linkTimeout,
 		DialTimeout:       linkDialTimeout,
 	})
+	registerTraffic(mesh.Traffic())
+	return mesh
 }
 
 // linkPeer returns the peer of a coordinator. Its name is its IP address.
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"hawthornshore.example/placement"
+	"hawthornshore.example/wire"
 )
 
 // observeAnswer counts the answer to a caller and its latency.
@@ -83,6 +84,33 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_evacuation_orders_total{outcome=%q}`, string(outcome)))
 }
 
+// Outcomes of copies of the document in the metrics.
+const (
+	documentAdopted = "adopted"
+	documentIgnored = "ignored" // the version is held already, or a newer one
+)
+
+// documentsReceived counts the copies of the document that a gateway has received.
+func documentsReceived(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_documents_received_total{outcome=%q}`, outcome))
+}
+
+// documentBytesSent counts the bytes of documents that a coordinator has sent to gateways.
+var documentBytesSent = metrics.GetOrCreateCounter("hawthorn_document_bytes_sent_total")
+
+// observeDocument records an adopted document, and for how long this process has known
+// that it lacked one.
+func observeDocument(version uint64, lag time.Duration) {
+	metrics.GetOrCreateGauge("hawthorn_document_version", nil).Set(float64(version))
+	metrics.GetOrCreateHistogram("hawthorn_document_lag_seconds").Update(lag.Seconds())
+}
+
+// registerTraffic publishes the bytes on the links of a process.
+func registerTraffic(traffic *wire.Traffic) {
+	metrics.GetOrCreateGauge(`hawthorn_link_bytes_total{direction="sent"}`, func() float64 { return float64(traffic.Sent()) })
+	metrics.GetOrCreateGauge(`hawthorn_link_bytes_total{direction="received"}`, func() float64 { return float64(traffic.Received()) })
+}
+
 // storedRefusals counts the stored jobs that admission refused, by reason.
 func storedRefusals(reason string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_stored_jobs_refused_total{reason=%q}`, reason))
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -24,6 +24,7 @@
 	// without a leader. Newer ones wait in unsynced, so that no effect of a document
 	// is seen before and not after a restart.
 	synced     Document
+	syncDelay  time.Duration // of synced
 	unsynced   []indexedDocument
 	jobs       *jobtable.Table
 	changed    map[string]bool // IDs of the jobs changed since takeChanged
@@ -37,7 +38,8 @@
 
 // indexedDocument is a document with the index of its log entry.
 type indexedDocument struct {
-	index uint64
+	index     uint64
+	appliedAt time.Duration // boottimeNow
 	Document
 }
 
@@ -83,6 +85,14 @@
 	return s.synced
 }
 
+// documentSyncDelay returns how long the document of syncedDocument took to become
+// durable after it was applied.
+func (s *stateStore) documentSyncDelay() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.syncDelay
+}
+
 // commitSynced records that this coordinator starts with the entries up to index
 // again after a restart, and reports whether a document has become the synced one.
 func (s *stateStore) commitSynced(index uint64) bool {
@@ -91,6 +101,7 @@
 	published := false
 	for len(s.unsynced) > 0 && s.unsynced[0].index <= index {
 		s.synced = s.unsynced[0].Document
+		s.syncDelay = boottimeNow() - s.unsynced[0].appliedAt
 		s.unsynced = s.unsynced[1:]
 		published = true
 	}
@@ -191,7 +202,7 @@
 	defer s.mu.Unlock()
 	if d := command.GetDocument(); d.GetVersion() > s.document.Version {
 		s.document = Document{Version: d.GetVersion(), Body: d.GetBody()}
-		s.unsynced = append(s.unsynced, indexedDocument{index: entry.Index, Document: s.document})
+		s.unsynced = append(s.unsynced, indexedDocument{index: entry.Index, appliedAt: boottimeNow(), Document: s.document})
 	}
 	answer := &wire.LogAnswer{DocumentVersion: s.document.Version}
 	if len(command.GetJobs()) > 0 {
@@ -230,7 +241,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.document = Document{Version: state.GetDocument().GetVersion(), Body: state.GetDocument().GetBody()}
-	s.synced, s.unsynced = s.document, nil // a snapshot is durable before it is applied
+	s.synced, s.syncDelay, s.unsynced = s.document, 0, nil // a snapshot is durable before it is applied
 	s.allChanged = true
 	s.evacuations.Restore(state.GetEvacuations())
 	s.evacuationsChanged.Store(true)
--- a/wire/link.go
+++ b/wire/link.go
@@ -124,7 +124,7 @@
 		}
 		batch = l.sendQueue.PopAll(batch[:0])
 		if err := l.writeBatch(writer, batch); err != nil {
-			return fmt.Errorf("write: %w", err)
+			return fmt.Errorf("write, %d messages waiting: %w", l.sendQueue.Len(), err)
 		}
 	}
 }
@@ -222,7 +222,8 @@
 		}
 		silence := time.Since(l.start) - time.Duration(l.lastReceived.Load())
 		if silence > l.timing.timeout {
-			return fmt.Errorf("no message received for %s", silence.Round(time.Millisecond))
+			return fmt.Errorf("no message received for %s, no byte for %s",
+				silence.Round(time.Millisecond), l.conn.sinceRead().Round(time.Millisecond))
 		}
 	}
 }
--- a/wire/sessionconn.go
+++ b/wire/sessionconn.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 )
@@ -13,6 +15,8 @@
 // and with one processor the loop may not get its turn.
 type sessionConn struct {
 	net.Conn
+	start      time.Time
+	lastRead   atomic.Int64  // nanoseconds since start
 	readFailed chan struct{} // closed after a failed Read, the last one of the receive loop
 	closed     chan struct{} // closed by Close
 	failOnce   sync.Once
@@ -20,18 +24,26 @@
 }
 
 func newSessionConn(conn net.Conn) *sessionConn {
-	return &sessionConn{Conn: conn, readFailed: make(chan struct{}), closed: make(chan struct{})}
+	return &sessionConn{Conn: conn, start: time.Now(), readFailed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // Read reads from the connection.
 func (c *sessionConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.lastRead.Store(int64(time.Since(c.start)))
+	}
 	if err != nil {
 		c.failOnce.Do(func() { close(c.readFailed) })
 	}
 	return n, err
 }
 
+// sinceRead returns the time since bytes were last read.
+func (c *sessionConn) sinceRead() time.Duration {
+	return time.Since(c.start) - time.Duration(c.lastRead.Load())
+}
+
 // Write writes to the connection. An error, after which the session shuts down, is
 // returned once the receive loop has ended.
 func (c *sessionConn) Write(p []byte) (int, error) {
