--- /dev/null
+++ b/cluster/documentlinks_test.go
@@ -0,0 +1,202 @@
+package cluster
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"hawthornshore.example/placement"
+)
+
+// slowLink is the network link of a gateway: it carries what all coordinators send to
+// the gateway, in the order of their writes, at a fixed rate.
+type slowLink struct {
+	bytesPerSecond int
+
+	mu   sync.Mutex
+	sent int
+}
+
+// slowLinkUnit is the number of bytes that a connection sends before another one may.
+const slowLinkUnit = 1500
+
+func (l *slowLink) carry(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	time.Sleep(time.Duration(bytes) * time.Second / time.Duration(l.bytesPerSecond))
+	l.sent += bytes
+}
+
+// sentBytes returns the number of bytes that were carried so far.
+func (l *slowLink) sentBytes() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+// slowListener accepts connections that write through a slowLink.
+type slowListener struct {
+	net.Listener
+	link *slowLink
+}
+
+func (s slowListener) Accept() (net.Conn, error) {
+	conn, err := s.Listener.Accept()
+	return slowConn{conn, s.link}, err
+}
+
+type slowConn struct {
+	net.Conn
+	link *slowLink
+}
+
+func (c slowConn) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		unit := p[written:min(written+slowLinkUnit, len(p))]
+		c.link.carry(len(unit))
+		n, err := c.Conn.Write(unit)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// documentNetwork is a gateway with links to coordinators that have no log: documents
+// are passed to them.
+type documentNetwork struct {
+	link         *slowLink
+	coordinators []*Coordinator
+	gateway      *Gateway
+}
+
+func startDocumentNetwork(bytesPerSecond, coordinators int) *documentNetwork {
+	GinkgoHelper()
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	DeferCleanup(func() {
+		stop()
+		running.Wait()
+	})
+	run := func(loop func(context.Context) error) { running.Go(func() { _ = loop(ctx) }) }
+	n := &documentNetwork{link: &slowLink{bytesPerSecond: bytesPerSecond}}
+	listeners, port := listenOnOnePort(coordinators)
+	var names []string
+	for _, listener := range listeners {
+		host, _, err := net.SplitHostPort(listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		names = append(names, host)
+		c := NewCoordinator(CoordinatorOptions{
+			Name: host, DataCentre: "z1", Listener: slowListener{listener, n.link}, LinkPort: port,
+			DataFolder: GinkgoT().TempDir(), Logger: zerolog.New(io.Discard),
+			Placement: placement.Options{Name: host}, Decode: decodeTestDocument,
+		})
+		n.coordinators = append(n.coordinators, c)
+		run(c.mesh.Run)
+	}
+	n.gateway = NewGateway(GatewayOptions{
+		Name: "g", DataCentre: "z1", LinkPort: port, Seeds: names, Decode: decodeTestDocument, Logger: zerolog.New(io.Discard),
+	})
+	run(n.gateway.Run)
+	for _, name := range names {
+		Eventually(func() bool { return n.gateway.mesh.Linked(name) }, "20s").Should(BeTrue())
+	}
+	return n
+}
+
+// listenOnOnePort returns listeners on different loopback addresses and one port.
+func listenOnOnePort(count int) ([]net.Listener, int) {
+	GinkgoHelper()
+	for range 20 {
+		var listeners []net.Listener
+		port := 0
+		for i := range count {
+			listener, err := net.Listen("tcp", fmt.Sprintf("127.91.0.%d:%d", i+1, port))
+			if err != nil {
+				break
+			}
+			listeners = append(listeners, listener)
+			port = listener.Addr().(*net.TCPAddr).Port
+		}
+		if len(listeners) == count {
+			return listeners, port
+		}
+		for _, listener := range listeners {
+			listener.Close()
+		}
+	}
+	Fail("no port is free on all addresses")
+	return nil, 0
+}
+
+// testDocument returns a document whose body cannot be compressed.
+func testDocument(version uint64, bytes int) Document {
+	body := binary.BigEndian.AppendUint64(nil, version)
+	random := rand.New(rand.NewPCG(version, 0))
+	for len(body) < bytes {
+		body = binary.BigEndian.AppendUint64(body, random.Uint64())
+	}
+	return Document{Version: version, Body: body}
+}
+
+func decodeTestDocument(body []byte) (*Deployment, error) {
+	return &Deployment{Version: binary.BigEndian.Uint64(body)}, nil
+}
+
+// apply passes a committed document to all coordinators.
+func (n *documentNetwork) apply(document Document) {
+	for _, c := range n.coordinators {
+		c.applyDocument(document)
+	}
+}
+
+// gatewayVersion returns the version that the gateway obeys.
+func (n *documentNetwork) gatewayVersion() uint64 {
+	if deployment := n.gateway.Deployment(); deployment != nil {
+		return deployment.Version
+	}
+	return 0
+}
+
+var _ = Describe("the document on the way to a gateway", func() {
+	// Pattern: changes in quick succession, and a link that carries each of them once but
+	// not once from each coordinator. Guards against a gateway that obeys versions which
+	// were superseded seconds ago, because they wait ahead of the newest one.
+	It("is not sent by each coordinator, nor once it is superseded", func() {
+		const (
+			size     = 10_000
+			interval = 100 * time.Millisecond
+			changes  = 40
+		)
+		n := startDocumentNetwork(200_000, 3)
+		for version := range uint64(changes) {
+			n.apply(testDocument(version+1, size))
+			time.Sleep(interval)
+		}
+		n.apply(testDocument(changes+1, size))
+		before := n.link.sentBytes()
+		Eventually(n.gatewayVersion, "60s", "1ms").Should(Equal(uint64(changes + 1)))
+		Expect(n.link.sentBytes()-before).To(BeNumerically("<", 3*size), "sent after the last change until it is obeyed")
+		Expect(n.link.sentBytes()).To(BeNumerically("<", 3*(changes+1)*size/2), "sent altogether")
+	})
+
+	// Pattern: a document that takes a slow link longer than linkTimeout. Guards against
+	// heartbeats that wait behind it, so that the link is given up and the document
+	// begins anew on the next one, without end.
+	It("arrives also if it takes longer than a silent link is kept", func() {
+		n := startDocumentNetwork(200_000, 3)
+		n.apply(testDocument(1, 300_000))
+		Eventually(n.gatewayVersion, "60s").Should(Equal(uint64(1)))
+	})
+})
