Let gateways request the document in pieces

Cause: each coordinator sent each version whole to each gateway, through the queue that heartbeats and answers use, whether or not the gateway had it from another one. Six copies of 9.7 KB five times a second do not fit into a link of 250 KB/s: copies queue in the order of the log, and the gateway obeys a version when the queue before it is sent. A copy that takes longer than the 0.7 s after which a silent link is given up is never received: both ends close the link and begin anew on the next one.

Now coordinators announce versions, in a message of some bytes and in their heartbeats, and a gateway requests what it lacks: from one coordinator, compressed, in pieces of 16 KiB, one at a time, with a timeout after which it continues at another one. Versions that are superseded before the request are not sent, and a version that has begun is completed. The decision is in cluster/documents, without I/O. Gateways of earlier versions still get whole documents.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -45,6 +45,8 @@
 	loop     *placementLoop
 	cache    *targetCache
 	recorder *recorder
+	// documents serves the document to gateways.
+	documents *documentSource
 	// confirmNow triggers confirmHome without waiting for its interval.
 	confirmNow chan struct{}
 	runCtx     context.Context // ends with Run
@@ -71,13 +73,16 @@
 
 // peerState describes the instance at the other end of a link.
 type peerState struct {
-	coordinator     bool
-	dataCentre      string
-	home            string // its process, as a home of stored jobs
-	draining        bool
-	documentVersion uint64    // in its last heartbeat
-	pushedVersion   uint64    // of the document last sent to it
-	pushedAt        time.Time // when it was sent
+	coordinator bool
+	dataCentre  string
+	home        string // its process, as a home of stored jobs
+	draining    bool
+	// requestsDocuments is set for gateways that fetch the document; the fields below
+	// are for the others, of earlier versions.
+	requestsDocuments bool
+	documentVersion   uint64    // in its last heartbeat
+	pushedVersion     uint64    // of the document last sent to it
+	pushedAt          time.Time // when it was sent
 }
 
 // NewCoordinator returns a coordinator that is started by Run.
@@ -106,6 +111,7 @@
 	c.loop = newPlacementLoop(c)
 	c.cache = newTargetCache(options.DataFolder, options.Logger)
 	c.recorder = newRecorder(c)
+	c.documents = newDocumentSource(c)
 	c.mesh = newMesh(hello, options.Listener, c)
 	return c
 }
@@ -238,13 +244,15 @@
 	return c.limits
 }
 
-// applyDocument applies a newer document and pushes it to the gateways of this
-// data centre. The others receive it after their next heartbeat.
+// applyDocument applies a newer document and announces it to the gateways.
 func (c *Coordinator) applyDocument(document Document) {
 	if document.Version <= c.Document().Version {
 		return
 	}
 	deployment, err := c.options.Decode(document.Body)
+	if err == nil {
+		err = c.documents.set(&document)
+	}
 	if err != nil {
 		c.options.Logger.Error().Str("event", "document_unreadable").Uint64("version", document.Version).Err(err).Send()
 		return
@@ -255,44 +263,12 @@
 		return
 	}
 	c.document, c.services, c.limits = document, deployment.Services, deployment.Limits
-	var localGateways []string
-	for name, state := range c.linked {
-		if !state.coordinator && state.dataCentre == c.options.DataCentre {
-			localGateways = append(localGateways, name)
-		}
-	}
 	c.mu.Unlock()
 	delay := c.logNode.store.documentSyncDelay()
 	observeDocument(document.Version, delay)
 	c.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).
 		Int("bytes", len(document.Body)).Int64("behind_ms", ms(delay)).Send()
-	for _, name := range localGateways {
-		c.pushDocument(name)
-	}
-}
-
-// pushInterval is the pause before the same version is pushed to a gateway again.
-const pushInterval = 500 * time.Millisecond
-
-func (c *Coordinator) pushDocument(name string) {
-	c.mu.Lock()
-	state, ok := c.linked[name]
-	document := c.document
-	stale := ok && state.documentVersion < document.Version &&
-		(state.pushedVersion < document.Version || time.Since(state.pushedAt) > pushInterval)
-	if stale {
-		state.pushedVersion, state.pushedAt = document.Version, time.Now()
-		c.linked[name] = state
-	}
-	c.mu.Unlock()
-	if !stale {
-		return
-	}
-	if c.send(name, &wire.Envelope{Body: &wire.Envelope_DocumentState{
-		DocumentState: &wire.DocumentState{Version: document.Version, Body: document.Body},
-	}}) {
-		documentBytesSent.Add(len(document.Body))
-	}
+	c.documents.announce(document.Version)
 }
 
 // send queues a one-way message and reports whether it was queued. The message is
--- a/cluster/documentlinks_test.go
+++ b/cluster/documentlinks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"hawthornshore.example/placement"
+	"hawthornshore.example/wire"
 )
 
 // slowLink is the network link of a gateway: it carries what all coordinators send to
@@ -169,6 +171,23 @@
 	return 0
 }
 
+// pushedVersions receives the versions of documents that arrive unasked.
+type pushedVersions chan uint64
+
+func (p pushedVersions) HandleMessage(_ *wire.Hello, message *wire.Envelope) {
+	if state := message.GetDocumentState(); state != nil {
+		p <- state.GetVersion()
+	}
+}
+
+func (pushedVersions) HandleCall(context.Context, string, *wire.Envelope) (*wire.Envelope, error) {
+	return nil, errors.New("no calls")
+}
+func (pushedVersions) LinkUp(*wire.Hello)         {}
+func (pushedVersions) LinkDown(string, error)     {}
+func (pushedVersions) LinkFailed(string, error)   {}
+func (pushedVersions) Heartbeat() *wire.Heartbeat { return &wire.Heartbeat{} }
+
 var _ = Describe("the document on the way to a gateway", func() {
 	// Pattern: changes in quick succession, and a link that carries each of them once but
 	// not once from each coordinator. Guards against a gateway that obeys versions which
@@ -191,6 +210,24 @@
 		Expect(n.link.sentBytes()).To(BeNumerically("<", 3*(changes+1)*size/2), "sent altogether")
 	})
 
+	// Guards against gateways of an earlier version, which request nothing, being left
+	// with an old document during an upgrade.
+	It("is sent unasked to a gateway that does not request it", func() {
+		n := startDocumentNetwork(1_000_000, 1)
+		received := make(pushedVersions, 10)
+		earlier := newMesh(newHello("earlier", "z2"), nil, received)
+		earlier.Dial(linkPeer(n.coordinators[0].options.Name, n.coordinators[0].options.LinkPort))
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = earlier.Run(ctx) })
+		defer running.Wait()
+		defer stop()
+		n.apply(testDocument(1, 100))
+		Eventually(received, "20s").Should(Receive(Equal(uint64(1))))
+		n.apply(testDocument(2, 100))
+		Eventually(received, "20s").Should(Receive(Equal(uint64(2))))
+	})
+
 	// Pattern: a document that takes a slow link longer than linkTimeout. Guards against
 	// heartbeats that wait behind it, so that the link is given up and the document
 	// begins anew on the next one, without end.
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
-	"hawthornshore.example/cluster/documents"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -28,13 +27,12 @@
 
 // Gateway submits callers' jobs to coordinators.
 type Gateway struct {
-	options GatewayOptions
-	mesh    *wire.Mesh
+	options   GatewayOptions
+	mesh      *wire.Mesh
+	documents *documentLoop
 
 	mu           sync.Mutex
 	deployment   *Deployment
-	documentLag  documents.Lag
-	lagReported  bool // document_behind was logged for the present lag
 	coordinators map[string]*linkedCoordinator
 	dialled      map[string]bool
 	lostAt       map[string]time.Time // when the last link to a coordinator failed
@@ -100,7 +98,10 @@
 		pending:      map[uint64]*pendingJob{},
 		lastRef:      firstRef(),
 	}
-	g.mesh = newMesh(newHello(options.Name, options.DataCentre), nil, g)
+	g.documents = newDocumentLoop(g)
+	hello := newHello(options.Name, options.DataCentre)
+	hello.RequestsDocuments = true
+	g.mesh = newMesh(hello, nil, g)
 	return g
 }
 
@@ -109,6 +110,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	g.addCoordinators(g.options.Seeds)
 	group.Go(func() error { return g.mesh.Run(ctx) })
+	group.Go(func() error { return g.documents.run(ctx) })
 	return group.Wait()
 }
 
@@ -351,7 +353,7 @@
 			c.draining = body.Heartbeat.GetDraining()
 		}
 		g.mu.Unlock()
-		g.documentAnnounced(hello.GetInstance(), body.Heartbeat.GetConfigVersion())
+		g.pushDocumentEvent(hello, documentEvent{announced: body.Heartbeat.GetConfigVersion()})
 	case *wire.Envelope_RoomUpdate:
 		g.mu.Lock()
 		if c := g.coordinators[hello.GetInstance()]; c != nil {
@@ -361,8 +363,11 @@
 	case *wire.Envelope_Directory:
 		g.addCoordinators(directoryNames(body.Directory))
 	case *wire.Envelope_DocumentState:
-		g.documentAnnounced(hello.GetInstance(), body.DocumentState.GetVersion())
-		g.applyDocument(hello.GetInstance(), Document{Version: body.DocumentState.GetVersion(), Body: body.DocumentState.GetBody()})
+		g.pushDocumentEvent(hello, documentEvent{pushed: body.DocumentState})
+	case *wire.Envelope_DocumentAnnouncement:
+		g.pushDocumentEvent(hello, documentEvent{announced: body.DocumentAnnouncement.GetVersion()})
+	case *wire.Envelope_DocumentPiece:
+		g.pushDocumentEvent(hello, documentEvent{piece: body.DocumentPiece})
 	case *wire.Envelope_SubmissionReceived:
 		g.submissionReceived(hello.GetInstance(), body.SubmissionReceived.GetRef())
 	case *wire.Envelope_SubmissionAnswer:
@@ -370,6 +375,12 @@
 	}
 }
 
+// pushDocumentEvent passes an event of a coordinator to the document loop.
+func (g *Gateway) pushDocumentEvent(hello *wire.Hello, event documentEvent) {
+	event.peer, event.local = hello.GetInstance(), hello.GetDataCentre() == g.options.DataCentre
+	g.documents.push(event)
+}
+
 // markResponsive records that a coordinator has sent a message. Its pending jobs get
 // the full time for their acknowledgement again.
 func (g *Gateway) markResponsive(name string) {
@@ -418,58 +429,22 @@
 	}
 }
 
-// documentBehindAfter is the lag of the document after which it is logged. Callers are
-// promised that a change is in force within 2 s and more.
-const documentBehindAfter = time.Second
-
-// documentAnnounced records that a coordinator holds a version of the document.
-func (g *Gateway) documentAnnounced(peer string, version uint64) {
-	now := time.Now()
-	g.mu.Lock()
-	g.documentLag.Announced(now, version)
-	behind, newest := g.documentLag.Behind(now), g.documentLag.Newest()
-	report := behind > documentBehindAfter && !g.lagReported
-	g.lagReported = g.lagReported || report
-	held := g.deployment
-	g.mu.Unlock()
-	if !report {
-		return
-	}
-	event := g.options.Logger.Warn().Str("event", "document_behind").Str("peer", peer).
-		Uint64("newest", newest).Int64("behind_ms", ms(behind))
-	if held != nil {
-		event = event.Uint64("version", held.Version)
+// applyDocument makes the gateway obey a document and returns its decoded form, or nil
+// if it obeys that or a newer one, or cannot read it.
+func (g *Gateway) applyDocument(document *Document) *Deployment {
+	if held := g.Deployment(); held != nil && held.Version >= document.Version {
+		return nil
 	}
-	event.Send()
-}
-
-// applyDocument applies a newer document.
-func (g *Gateway) applyDocument(peer string, document Document) {
-	g.mu.Lock()
-	old := g.deployment
-	g.mu.Unlock()
-	if old != nil && old.Version >= document.Version {
-		documentsReceived(documentIgnored).Inc()
-		return
-	}
-	documentsReceived(documentAdopted).Inc()
 	deployment, err := g.options.Decode(document.Body)
 	if err != nil {
 		g.options.Logger.Error().Str("event", "document_unreadable").Uint64("version", document.Version).Err(err).Send()
-		return
+		return nil
 	}
 	deployment.SortQueues()
 	g.mu.Lock()
-	if g.deployment == nil || g.deployment.Version < deployment.Version {
-		g.deployment = deployment
-	}
-	lag, newest := g.documentLag.Adopted(time.Now(), deployment.Version), g.documentLag.Newest()
-	g.lagReported = false
-	g.mu.Unlock()
-	observeDocument(document.Version, lag)
-	g.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).Str("peer", peer).
-		Int("queues", len(deployment.Queues)).Int("bytes", len(document.Body)).
-		Int64("behind_ms", ms(lag)).Uint64("newest", newest).Send()
+	defer g.mu.Unlock()
+	g.deployment = deployment
+	return deployment
 }
 
 // HandleCall returns an error: a gateway serves no calls.
@@ -491,6 +466,7 @@
 	g.mu.Lock()
 	delete(g.coordinators, peer)
 	g.lostAt[peer] = time.Now()
+	g.documents.push(documentEvent{peer: peer, lost: true})
 	var lost []*pendingJob
 	for ref, p := range g.pending {
 		if p.coordinator == peer {
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -39,6 +39,8 @@
 		c.handleHandOver(peer, body.TargetHandOver)
 	case *wire.Envelope_TargetDrain:
 		c.handleTargetDrain(body.TargetDrain)
+	case *wire.Envelope_DocumentRequest:
+		c.documents.answer(peer, body.DocumentRequest)
 	case *wire.Envelope_CancelledJobs:
 		for _, id := range body.CancelledJobs.GetJobIds() {
 			c.loop.push(placement.Cancel{JobID: id})
@@ -91,7 +93,7 @@
 	gateway := ok && !state.coordinator
 	c.mu.Unlock()
 	if gateway {
-		c.pushDocument(peer)
+		c.documents.push(peer)
 	}
 }
 
@@ -130,7 +132,10 @@
 func (c *Coordinator) LinkUp(hello *wire.Hello) {
 	name := hello.GetInstance()
 	c.mu.Lock()
-	c.linked[name] = peerState{coordinator: hello.GetVoter(), dataCentre: hello.GetDataCentre(), home: homeName(hello)}
+	c.linked[name] = peerState{
+		coordinator: hello.GetVoter(), dataCentre: hello.GetDataCentre(), home: homeName(hello),
+		requestsDocuments: hello.GetRequestsDocuments(),
+	}
 	if hello.GetVoter() {
 		c.directory[name] = hello.GetDataCentre()
 	}
@@ -183,6 +188,7 @@
 		c.loop.push(placement.PeerDisconnected{Peer: peer})
 		return
 	}
+	c.documents.forget(peer)
 	c.loop.push(placement.GatewayDisconnected{Gateway: peer})
 }
 
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -84,20 +84,13 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_evacuation_orders_total{outcome=%q}`, string(outcome)))
 }
 
-// Outcomes of copies of the document in the metrics.
-const (
-	documentAdopted = "adopted"
-	documentIgnored = "ignored" // the version is held already, or a newer one
+// documentBytesSent and documentBytesReceived count the bytes of documents on the links
+// between coordinators and gateways.
+var (
+	documentBytesSent     = metrics.GetOrCreateCounter(`hawthorn_document_bytes_total{direction="sent"}`)
+	documentBytesReceived = metrics.GetOrCreateCounter(`hawthorn_document_bytes_total{direction="received"}`)
 )
 
-// documentsReceived counts the copies of the document that a gateway has received.
-func documentsReceived(outcome string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf(`hawthorn_documents_received_total{outcome=%q}`, outcome))
-}
-
-// documentBytesSent counts the bytes of documents that a coordinator has sent to gateways.
-var documentBytesSent = metrics.GetOrCreateCounter("hawthorn_document_bytes_sent_total")
-
 // observeDocument records an adopted document, and for how long this process has known
 // that it lacked one.
 func observeDocument(version uint64, lag time.Duration) {
