Keep log lines about state apart from those about requests

Lines whose number grows with the load have a logger and a limit of their own (300 a second as before); links, the document, the log and the process have another one (500 a second). The spec fails on the code before, which has one limit for all lines.

--- a/apps/hawthorn-platform/coordinator.go
+++ b/apps/hawthorn-platform/coordinator.go
@@ -44,7 +44,7 @@
 	group.Go(func() error { return coordinator.Run(ctx) })
 	clients := p.newClients(coordinator.Limits)
 	group.Go(func() error { return clients.pool.Run(ctx) })
-	control := &http.Server{Handler: platform.NewControlHandler(coordinator, p.logger)}
+	control := &http.Server{Handler: platform.NewControlHandler(coordinator, p.requestLogger)}
 	if err := clients.serve(ctx, group, address{"control", s.ControlAddress, clients.connections, controlBacklog}, control); err != nil {
 		return err
 	}
@@ -94,8 +94,8 @@
 		},
 		Evacuation: cluster.EvacuationOptions{Bound: s.EvacuationBound, DataCentres: s.DataCentres},
 		Targets:    platform.NewTargetClient(),
-		Logger:     p.logger,
-		Decode:     platform.DecodeDocument,
+		Logger:     p.logger, RequestLogger: p.requestLogger,
+		Decode: platform.DecodeDocument,
 		HeartbeatAddress: func(name string) string {
 			return net.JoinHostPort(name, strconv.Itoa(s.ControlPort))
 		},
--- a/apps/hawthorn-platform/gateway.go
+++ b/apps/hawthorn-platform/gateway.go
@@ -37,14 +37,14 @@
 	s := &p.settings
 	gateway := cluster.NewGateway(cluster.GatewayOptions{
 		Name: s.IP, DataCentre: s.DataCentre, LinkPort: s.LinkPort, Seeds: s.Seeds,
-		Decode: platform.DecodeDocument, Logger: p.logger,
+		Decode: platform.DecodeDocument, Logger: p.logger, RequestLogger: p.requestLogger,
 	})
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, ctx := errgroup.WithContext(running)
 	clients := p.newClients(gateway.Limits)
 	group.Go(func() error { return clients.pool.Run(ctx) })
-	callerServer := &http.Server{Handler: platform.NewCallerHandler(gateway, p.logger)}
+	callerServer := &http.Server{Handler: platform.NewCallerHandler(gateway, p.requestLogger)}
 	if err := clients.serve(ctx, group, address{"callers", s.CallerAddress, clients.connections, callerBacklog}, callerServer); err != nil {
 		return err
 	}
--- a/apps/hawthorn-platform/process.go
+++ b/apps/hawthorn-platform/process.go
@@ -21,9 +21,12 @@
 )
 
 const (
-	// maxLogLinesPerSecond bounds the log: two lines per job at four times the
-	// usual load of a gateway. Further lines are dropped.
-	maxLogLinesPerSecond = 300
+	// maxRequestLinesPerSecond bounds the log of requests: two lines per job at four
+	// times the usual load of a gateway. Further lines are dropped.
+	maxRequestLinesPerSecond = 300
+	// maxStateLinesPerSecond bounds the other lines: the links of hundreds of machines
+	// may end and begin within a second.
+	maxStateLinesPerSecond = 500
 	// memoryLimitShare is the soft memory limit of the Go runtime as a share of the
 	// machine's memory.
 	memoryLimitShare = 0.6
@@ -33,11 +36,12 @@
 
 // process is the state common to the gateway and coordinator commands.
 type process struct {
-	settings  platform.Settings
-	logger    zerolog.Logger
-	logWriter *logging.RateLimitedWriter
-	stopLog   chan struct{}
-	logDone   chan error
+	settings      platform.Settings
+	logger        zerolog.Logger
+	requestLogger zerolog.Logger // for lines whose number grows with the load
+	logWriter     *logging.RateLimitedWriter
+	stopLog       chan struct{}
+	logDone       chan error
 
 	writeClientMetrics func(io.Writer)
 }
@@ -53,11 +57,12 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryBytes)))
 	p := &process{
 		settings:  settings,
-		logWriter: logging.NewRateLimitedWriter(os.Stdout, maxLogLinesPerSecond),
+		logWriter: logging.NewRateLimitedWriter(os.Stdout),
 		stopLog:   make(chan struct{}),
 		logDone:   make(chan error, 1),
 	}
-	p.logger = p.logWriter.Logger(zerolog.InfoLevel)
+	p.logger = p.logWriter.Logger(zerolog.InfoLevel, maxStateLinesPerSecond)
+	p.requestLogger = p.logWriter.Logger(zerolog.InfoLevel, maxRequestLinesPerSecond)
 	go func() { p.logDone <- p.logWriter.Run(p.stopLog) }()
 	p.logger.Info().Str("event", "process_started").Str("role", role).Str("machine", settings.Machine).
 		Str("data_centre", settings.DataCentre).Strs("seeds", settings.Seeds).Bool("first_start", settings.FirstStart).Send()
--- a/cluster/cancelled.go
+++ b/cluster/cancelled.go
@@ -28,7 +28,7 @@
 		group.Go(func() error { return c.notifyCancelled(ctx, peer, id) })
 	}
 	err := group.Wait()
-	c.options.Logger.Info().Str("event", "job_cancel_recorded").Str("job", id).Err(err).Send()
+	c.options.RequestLogger.Info().Str("event", "job_cancel_recorded").Str("job", id).Err(err).Send()
 	return err
 }
 
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -31,6 +31,7 @@
 	Evacuation                 EvacuationOptions
 	Targets                    Targets
 	Logger                     zerolog.Logger
+	RequestLogger              zerolog.Logger // as in GatewayOptions
 	// Decode parses the operators' document.
 	Decode func(body []byte) (*Deployment, error)
 	// HeartbeatAddress returns where a coordinator accepts targets' heartbeats.
@@ -276,7 +277,7 @@
 func (c *Coordinator) send(peer string, message *wire.Envelope) bool {
 	err := c.mesh.Send(peer, message)
 	if err != nil && !errors.Is(err, wire.ErrNoLink) {
-		c.options.Logger.Warn().Str("event", "send_failed").Str("peer", peer).Err(err).Send()
+		c.options.RequestLogger.Warn().Str("event", "send_failed").Str("peer", peer).Err(err).Send()
 	}
 	return err == nil
 }
--- a/cluster/gateway.go
+++ b/cluster/gateway.go
@@ -23,6 +23,9 @@
 	// coordinators reject.
 	Decode func(body []byte) (*Deployment, error)
 	Logger zerolog.Logger
+	// RequestLogger writes the lines whose number grows with the load, so that they
+	// cannot displace those of Logger.
+	RequestLogger zerolog.Logger
 }
 
 // Gateway submits callers' jobs to coordinators.
@@ -192,7 +195,7 @@
 	begin := time.Now()
 	answer := g.submit(ctx, &request.Job)
 	observeAnswer(request.Queue, answer.Outcome, time.Since(begin))
-	g.options.Logger.Info().Str("event", "request_answered").Str("job", request.ID).Str("queue", request.Queue).
+	g.options.RequestLogger.Info().Str("event", "request_answered").Str("job", request.ID).Str("queue", request.Queue).
 		Str("outcome", answer.Outcome.String()).Str("home", answer.Coordinator).Str("reason", answer.Reason).
 		Int64("took_ms", time.Since(begin).Milliseconds()).Int64("budget_ms", ms(request.Budget)).Send()
 	return answer
@@ -309,7 +312,7 @@
 func (g *Gateway) passOver(name string, c *linkedCoordinator, after time.Duration) {
 	if !c.unresponsive {
 		c.unresponsive = true
-		g.options.Logger.Warn().Str("event", "coordinator_unresponsive").Str("peer", name).Int64("after_ms", ms(after)).Send()
+		g.options.RequestLogger.Warn().Str("event", "coordinator_unresponsive").Str("peer", name).Int64("after_ms", ms(after)).Send()
 	}
 }
 
@@ -331,7 +334,7 @@
 		return answer
 	case <-ctx.Done():
 		if err := g.mesh.Send(name, &wire.Envelope{Body: &wire.Envelope_Withdrawal{Withdrawal: &wire.Withdrawal{Ref: ref}}}); err != nil {
-			g.options.Logger.Warn().Str("event", "withdrawal_lost").Str("job", job.ID).Str("peer", name).Err(err).Send()
+			g.options.RequestLogger.Warn().Str("event", "withdrawal_lost").Str("job", job.ID).Str("peer", name).Err(err).Send()
 		}
 		return Answer{Outcome: placement.Aborted, Reason: "caller has left"}
 	}
--- a/cluster/jobstatus.go
+++ b/cluster/jobstatus.go
@@ -46,7 +46,7 @@
 			JobQuestion: &wire.JobQuestion{JobId: id, Cancel: cancel},
 		}})
 		if err != nil {
-			g.options.Logger.Warn().Str("event", "job_question_failed").Str("job", id).Str("peer", name).Err(err).Send()
+			g.options.RequestLogger.Warn().Str("event", "job_question_failed").Str("job", id).Str("peer", name).Err(err).Send()
 			unanswered = true
 			continue
 		}
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -77,7 +77,7 @@
 // caller of a dropped submission gets its answer at the timeout.
 func (l *placementLoop) push(event placement.Event) {
 	if err := l.events.Push(event); err != nil {
-		l.coordinator.options.Logger.Error().Str("event", "core_event_lost").Err(errors.Annotatef(err, "%T", event)).Send()
+		l.coordinator.options.RequestLogger.Error().Str("event", "core_event_lost").Err(errors.Annotatef(err, "%T", event)).Send()
 	}
 }
 
@@ -267,7 +267,7 @@
 // logDecision logs and counts a decision.
 func (l *placementLoop) logDecision(d *placement.Decision) {
 	decisionCounter(d.Event).Inc()
-	event := l.coordinator.options.Logger.Info().Str("event", d.Event)
+	event := l.coordinator.options.RequestLogger.Info().Str("event", d.Event)
 	for _, field := range [][2]string{
 		{"job", d.Job},
 		{"task", d.Task},
@@ -291,7 +291,7 @@
 func (l *placementLoop) logStatus() {
 	s := l.core.Status()
 	l.gauges.set(&s)
-	l.coordinator.options.Logger.Info().Str("event", "placement_status").Int("jobs", s.Jobs).Int("queued", s.Queued).
+	l.coordinator.options.RequestLogger.Info().Str("event", "placement_status").Int("jobs", s.Jobs).Int("queued", s.Queued).
 		Int("targets", s.Targets).Int("usable", s.Usable).Int("runs", s.Runs).Int64("free_millis", s.FreeCPUMillis).
 		Int("peers", s.Peers).Int("peer_rooms", s.PeerTargets).Int64("peer_free_millis", s.PeerFreeCPUMillis).Send()
 }
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -166,7 +166,7 @@
 		return false
 	}
 	c.rejectedAt[d.ID] = time.Now()
-	c.options.Logger.Info().Str("event", "target_turned_away").Str("target", d.ID).Str("data_centre", d.DataCentre).
+	c.options.RequestLogger.Info().Str("event", "target_turned_away").Str("target", d.ID).Str("data_centre", d.DataCentre).
 		Int("linked", linked).Int("known", len(c.directory)).Send()
 	return true
 }
--- a/cluster/recorder.go
+++ b/cluster/recorder.go
@@ -119,7 +119,7 @@
 		}
 		if err != nil {
 			if failures == 0 {
-				r.coordinator.options.Logger.Warn().Str("event", "record_delayed").Int("commands", len(rest)).Err(err).Send()
+				r.coordinator.options.RequestLogger.Warn().Str("event", "record_delayed").Int("commands", len(rest)).Err(err).Send()
 			}
 			failures++
 			select {
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -30,7 +30,7 @@
 func (c *Coordinator) handleStoredSubmission(ctx context.Context, gateway string, submission *wire.Submission) {
 	answer := c.storeJob(ctx, submission)
 	answer.Ref = submission.GetRef()
-	c.options.Logger.Info().Str("event", "job_stored").Str("job", submission.GetJobId()).Str("queue", submission.GetQueue()).
+	c.options.RequestLogger.Info().Str("event", "job_stored").Str("job", submission.GetJobId()).Str("queue", submission.GetQueue()).
 		Str("outcome", placement.Outcome(answer.GetOutcome()).String()).Str("reason", answer.GetReason()).Send()
 	c.send(gateway, &wire.Envelope{Body: &wire.Envelope_SubmissionAnswer{SubmissionAnswer: answer}})
 }
@@ -135,7 +135,7 @@
 	_, err = c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
 		Body: &wire.JobCommand_Cancel{Cancel: &wire.JobCancel{JobId: id}},
 	}}})
-	c.options.Logger.Info().Str("event", "job_cancel").Str("job", id).Err(err).Send()
+	c.options.RequestLogger.Info().Str("event", "job_cancel").Str("job", id).Err(err).Send()
 	if state.GetStored() < wire.StoredState_STORED_STATE_COMPLETED {
 		state.Stored = wire.StoredState_STORED_STATE_CANCELLED
 	}
--- a/logging/ratelimit.go
+++ b/logging/ratelimit.go
@@ -20,41 +20,48 @@
 	flushInterval = 50 * time.Millisecond
 )
 
-// RateLimitedWriter is a writer that never blocks. Lines beyond the limit per
-// second, and lines for which the queue is full, are counted and omitted.
+// RateLimitedWriter writes the lines of loggers and never blocks. Lines beyond a
+// logger's limit, and lines for which the queue is full, are counted and omitted.
 type RateLimitedWriter struct {
-	out      io.Writer
-	text     bytes.Buffer // formatted lines, owned by Run
-	format   io.Writer    // formats into text
-	queue    *ring.Ring[[]byte]
-	limit    int64        // lines per second
-	second   atomic.Int64 // Unix time of the last line
-	received atomic.Int64 // lines in this second
-	omitted  atomic.Int64 // lines since the last flush
+	out     io.Writer
+	text    bytes.Buffer // formatted lines, owned by Run
+	format  io.Writer    // formats into text
+	queue   *ring.Ring[[]byte]
+	omitted atomic.Int64 // lines since the last flush
 }
 
-// NewRateLimitedWriter returns a writer for at most the given number of lines
-// per second. Run has to be called for lines to be written.
-func NewRateLimitedWriter(out io.Writer, linesPerSecond int) *RateLimitedWriter {
-	w := &RateLimitedWriter{out: out, queue: ring.New[[]byte](queueLines), limit: int64(linesPerSecond)}
+// NewRateLimitedWriter returns a writer. Run has to be called for lines to be written.
+func NewRateLimitedWriter(out io.Writer) *RateLimitedWriter {
+	w := &RateLimitedWriter{out: out, queue: ring.New[[]byte](queueLines)}
 	w.format = keyValue(&w.text)
 	return w
 }
 
-// Logger returns a logger that writes through w.
-func (w *RateLimitedWriter) Logger(level zerolog.Level) zerolog.Logger { return newLogger(w, level) }
+// Logger returns a logger that writes at most the given number of lines per second. The
+// limits of several loggers do not affect each other.
+func (w *RateLimitedWriter) Logger(level zerolog.Level, linesPerSecond int) zerolog.Logger {
+	return newLogger(&limitedLines{writer: w, limit: int64(linesPerSecond)}, level)
+}
+
+// limitedLines passes the lines of one logger to a RateLimitedWriter.
+type limitedLines struct {
+	writer   *RateLimitedWriter
+	limit    int64        // lines per second
+	second   atomic.Int64 // Unix time of the last line
+	received atomic.Int64 // lines in this second
+}
 
 // Write queues one line. It reports success for omitted lines as well.
-func (w *RateLimitedWriter) Write(line []byte) (int, error) {
-	if second := time.Now().Unix(); w.second.Swap(second) != second {
-		w.received.Store(0)
+func (l *limitedLines) Write(line []byte) (int, error) {
+	if second := time.Now().Unix(); l.second.Swap(second) != second {
+		l.received.Store(0)
 	}
-	if w.received.Add(1) > w.limit {
-		w.omitted.Add(1)
+	if l.received.Add(1) > l.limit {
+		l.writer.omitted.Add(1)
 		return len(line), nil
 	}
-	if err := w.queue.Push(append([]byte(nil), line...)); err != nil {
-		w.omitted.Add(1)
+	if err := l.writer.queue.Push(append([]byte(nil), line...)); err != nil {
+		l.writer.omitted.Add(1)
 	}
 	return len(line), nil
 }
--- a/logging/ratelimit_test.go
+++ b/logging/ratelimit_test.go
@@ -30,8 +30,8 @@
 	// omitted without a count.
 	It("omits lines beyond the limit and counts them", func() {
 		var out bytes.Buffer
-		w := logging.NewRateLimitedWriter(&out, 3)
-		log := w.Logger(zerolog.InfoLevel)
+		w := logging.NewRateLimitedWriter(&out)
+		log := w.Logger(zerolog.InfoLevel, 3)
 		for i := range 10 {
 			log.Info().Str("event", "e").Int("i", i).Send()
 		}
@@ -43,11 +43,29 @@
 		Expect(out.String()).To(ContainSubstring("event=log_lines_omitted"))
 	})
 
+	// Guards against lines about the state of a process that are lost among those of a
+	// burst of requests.
+	It("omits no line of a logger because of another one", func() {
+		var out bytes.Buffer
+		w := logging.NewRateLimitedWriter(&out)
+		requests, state := w.Logger(zerolog.InfoLevel, 1), w.Logger(zerolog.InfoLevel, 10)
+		for range 100 {
+			requests.Info().Str("event", "request").Send()
+		}
+		for range 10 {
+			state.Info().Str("event", "state").Send()
+		}
+		stop := make(chan struct{})
+		close(stop)
+		Expect(w.Run(stop)).To(Succeed())
+		Expect(strings.Count(out.String(), "event=state")).To(Equal(10))
+	})
+
 	// Guards against a process that is blocked by its log output.
 	It("never blocks on its output", func() {
 		out := &blockedWriter{entered: make(chan struct{})}
-		w := logging.NewRateLimitedWriter(out, 1_000_000)
-		log := w.Logger(zerolog.InfoLevel)
+		w := logging.NewRateLimitedWriter(out)
+		log := w.Logger(zerolog.InfoLevel, 1_000_000)
 		go func() { _ = w.Run(make(chan struct{})) }()
 		log.Info().Send()
 		<-out.entered
