Request the newest known version of the document

Cause: a coordinator of the gateway's own data centre was preferred whichever version it had, and after its start the gateway asked the first coordinator that it heard of. Now only coordinators with the newest version that it knows of are asked, and a gateway without a document waits 50 ms to hear of more than one.

The new spec fails on the code before. The other specs announce their first version 100 ms before they ask for it, as the wait would otherwise add to what they check.

--- a/cluster/documents/fetcher.go
+++ b/cluster/documents/fetcher.go
@@ -19,9 +19,10 @@
 	// timeoutMemory is how long a coordinator that has not answered in time comes after
 	// the others.
 	timeoutMemory = 5 * time.Second
-	// localGrace is how long a gateway waits for a coordinator of its own data centre to
-	// hold a new version. They usually hold it some milliseconds after the first one.
-	localGrace = 50 * time.Millisecond
+	// grace is how long a gateway waits for a coordinator of its own data centre to hold a
+	// new version, and after its start for others than the first one that it hears of.
+	// They usually hold a version some milliseconds after each other.
+	grace = 50 * time.Millisecond
 )
 
 // Fetcher decides when a gateway requests the next piece of a document, and from which
@@ -140,24 +141,27 @@
 	return len(f.partial.data) > 0 && f.sources[peer] != nil
 }
 
-// choose returns the coordinator to ask, or "" if none has a version that this gateway
-// lacks, or one of its own data centre may have it at once.
+// choose returns the coordinator to ask, which is one of those with the newest version.
+// It returns "" if none has a version that this gateway lacks, or the grace has not
+// passed.
 func (f *Fetcher) choose(now time.Time) string {
+	newest, localLinked := f.lag.held, false
+	for _, s := range f.sources {
+		newest = max(newest, s.version)
+		localLinked = localLinked || s.local
+	}
+	if newest == f.lag.held {
+		return ""
+	}
 	var peers []string
-	localAwaited := false
 	for peer, s := range f.sources {
-		switch {
-		case s.version > f.lag.held:
+		if s.version == newest {
 			peers = append(peers, peer)
-		case s.local:
-			localAwaited = true
 		}
 	}
-	if len(peers) == 0 {
-		return ""
-	}
 	best := slices.MinFunc(peers, func(a, b string) int { return f.compare(now, a, b) })
-	if !f.sources[best].local && localAwaited && f.lag.held > 0 && f.lag.Behind(now) < localGrace {
+	early := f.lag.held == 0 || (localLinked && !f.sources[best].local)
+	if early && f.lag.Behind(now) < grace {
 		return ""
 	}
 	return best
--- a/cluster/documents/fetcher_test.go
+++ b/cluster/documents/fetcher_test.go
@@ -66,7 +66,7 @@
 		for i := range 6 {
 			name := fmt.Sprint(i)
 			hold(name, document)
-			f.Announced(at(0), name, name == "4", 1)
+			f.Announced(at(-100), name, name == "4", 1)
 		}
 		for offset := uint64(0); offset < 3*documents.PieceBytes; offset += documents.PieceBytes {
 			request := next(1)
@@ -84,7 +84,7 @@
 	// sent, and against a transfer that begins anew with each change and never ends.
 	It("completes what it has begun, and takes the newest version after that", func() {
 		hold("a", encoded(1, 1))
-		f.Announced(at(0), "a", true, 1)
+		f.Announced(at(-100), "a", true, 1)
 		Expect(answer(next(0))).To(BeNil())
 		for version := uint64(2); version <= 9; version++ {
 			hold("a", encoded(version, 1))
@@ -102,8 +102,8 @@
 		document := encoded(1, 2)
 		hold("a", document)
 		hold("b", document)
-		f.Announced(at(0), "a", true, 1)
-		f.Announced(at(0), "b", false, 1)
+		f.Announced(at(-100), "a", true, 1)
+		f.Announced(at(-100), "b", false, 1)
 		Expect(answer(next(0))).To(BeNil())
 		Expect(next(1).Peer).To(Equal("a"))
 		none(250)
@@ -118,7 +118,7 @@
 	It("uses a piece that comes after its timeout", func() {
 		document := encoded(1, 1)
 		hold("a", document)
-		f.Announced(at(0), "a", true, 1)
+		f.Announced(at(-100), "a", true, 1)
 		Expect(answer(next(0))).To(BeNil())
 		late := next(1)
 		again := next(400)
@@ -134,7 +134,7 @@
 	It("never goes back to an older version", func() {
 		hold("lagging", encoded(1, 1))
 		hold("current", encoded(2, 0))
-		f.Announced(at(0), "current", false, 2)
+		f.Announced(at(-100), "current", false, 2)
 		Expect(answer(next(0)).Version).To(Equal(uint64(2)))
 		f.Finished(at(1), 2)
 		f.Announced(at(2), "lagging", true, 1)
@@ -144,12 +144,25 @@
 		none(61)
 	})
 
+	// Pattern: a gateway starts again beside coordinators that are cut off from the others
+	// and lag. Guards against an older configuration than before its restart, and against
+	// an old version that is fetched although a newer one is known.
+	It("takes the newest version that it hears of after its start", func() {
+		hold("lagging", encoded(1, 0))
+		hold("current", encoded(2, 0))
+		f.Announced(at(0), "lagging", true, 1)
+		none(0)
+		f.Announced(at(3), "current", false, 2)
+		none(49)
+		Expect(next(50).Peer).To(Equal("current"))
+	})
+
 	// Guards against bytes between data centres for a document that the coordinators of
 	// the own one hold some milliseconds later, and against a wait for one that lags.
 	It("waits shortly for a coordinator of its data centre", func() {
 		for _, name := range []string{"near", "far"} {
 			hold(name, encoded(1, 0))
-			f.Announced(at(0), name, name == "near", 1)
+			f.Announced(at(-100), name, name == "near", 1)
 		}
 		Expect(next(0).Peer).To(Equal("near"))
 		f.Finished(at(1), 1)
@@ -170,8 +183,8 @@
 		document := encoded(1, 2)
 		hold("a", document)
 		hold("b", document)
-		f.Announced(at(0), "a", true, 1)
-		f.Announced(at(0), "b", false, 1)
+		f.Announced(at(-100), "a", true, 1)
+		f.Announced(at(-100), "b", false, 1)
 		Expect(answer(next(0))).To(BeNil())
 		Expect(next(1).Peer).To(Equal("a"))
 		f.Lost("a")
@@ -182,7 +195,7 @@
 	It("begins anew after a wrong checksum", func() {
 		document := encoded(1, 0)
 		hold("a", document)
-		f.Announced(at(0), "a", true, 1)
+		f.Announced(at(-100), "a", true, 1)
 		request := next(0)
 		piece, _ := sources["a"].Piece("g", request)
 		piece.Data = append([]byte{piece.Data[0] + 1}, piece.Data[1:]...)
