Leave a coordinator that has lost the document, and wake the document loop when due

A gateway that had a document in part asked the same coordinator for the rest also after that had started again with an older log. It answered with a version that the gateway holds, and was asked again at once, without end, while others had the document. Found in review of the fetch; the new spec fails without the check of the version.

A document that passes its checksum and cannot be decompressed is no longer requested again. The loop sleeps until an event or the next due time, as the cores' NextWake does elsewhere, in place of a poll every 25 ms.

--- a/cluster/documentloop.go
+++ b/cluster/documentloop.go
@@ -12,8 +12,8 @@
 const (
 	// documentEventRingSize is the number of events that may wait for the document loop.
 	documentEventRingSize = 1024
-	// documentPollInterval is how often timeouts of requests are checked.
-	documentPollInterval = 25 * time.Millisecond
+	// maxDocumentIdle is the longest wait of the document loop for an event.
+	maxDocumentIdle = time.Second
 	// documentBehindAfter is the lag of the document after which it is logged. Callers
 	// are promised that a change is in force within 2 s and more.
 	documentBehindAfter = time.Second
@@ -54,13 +54,13 @@
 }
 
 func (l *documentLoop) run(ctx context.Context) error {
-	ticker := time.NewTicker(documentPollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(maxDocumentIdle)
+	defer timer.Stop()
 	var events []documentEvent
 	for {
 		select {
 		case <-l.events.Ready():
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -70,9 +70,23 @@
 		}
 		l.request()
 		l.reportLag()
+		timer.Reset(l.untilWake())
 	}
 }
 
+// untilWake returns how long the loop may wait for an event.
+func (l *documentLoop) untilWake() time.Duration {
+	now := time.Now()
+	wait := maxDocumentIdle
+	if wake := l.fetcher.NextWake(now); !wake.IsZero() {
+		wait = min(wait, wake.Sub(now))
+	}
+	if since, _ := l.fetcher.BehindSince(); !since.IsZero() && !l.lagReported {
+		wait = min(wait, since.Add(documentBehindAfter).Sub(now))
+	}
+	return max(wait, 0)
+}
+
 func (l *documentLoop) process(event *documentEvent) {
 	switch {
 	case event.lost:
@@ -95,17 +109,17 @@
 		Version: message.GetVersion(), Total: message.GetTotal(), Checksum: message.GetChecksum(),
 		Offset: message.GetOffset(), Data: message.GetData(),
 	})
-	var body []byte
-	if err == nil && encoded != nil {
-		body, err = encoded.Body()
+	if encoded != nil {
+		var body []byte
+		if body, err = encoded.Body(); err == nil {
+			l.apply(peer, Document{Version: encoded.Version, Body: body})
+			return
+		}
+		l.fetcher.Finished(time.Now(), encoded.Version) // the next request would give the same
 	}
 	if err != nil {
 		l.gateway.options.Logger.Error().Str("event", "document_unreadable").Str("peer", peer).
 			Uint64("version", message.GetVersion()).Err(err).Send()
-		return
-	}
-	if encoded != nil {
-		l.apply(peer, Document{Version: encoded.Version, Body: body})
 	}
 }
 
@@ -117,7 +131,7 @@
 		return
 	}
 	l.lagReported = false
-	_, newest := l.fetcher.Behind(time.Now())
+	_, newest := l.fetcher.BehindSince()
 	observeDocument(document.Version, lag)
 	l.gateway.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).Str("peer", peer).
 		Int("queues", len(applied.Queues)).Int("bytes", len(document.Body)).
@@ -144,8 +158,9 @@
 
 // reportLag logs once that the document has been out of date for long.
 func (l *documentLoop) reportLag() {
-	behind, newest := l.fetcher.Behind(time.Now())
-	if behind <= documentBehindAfter || l.lagReported {
+	since, newest := l.fetcher.BehindSince()
+	behind := time.Since(since)
+	if since.IsZero() || behind < documentBehindAfter || l.lagReported {
 		return
 	}
 	l.lagReported = true
--- a/cluster/documents/fetcher.go
+++ b/cluster/documents/fetcher.go
@@ -100,10 +100,19 @@
 	return f.lag.Adopted(now, version)
 }
 
-// Behind returns for how long the gateway has known that it lacks a version, and the
-// newest version that it has heard of.
-func (f *Fetcher) Behind(now time.Time) (time.Duration, uint64) {
-	return f.lag.Behind(now), f.lag.Newest()
+// BehindSince returns since when the gateway has known that it lacks a version, or the
+// zero time, and the newest version that it has heard of.
+func (f *Fetcher) BehindSince() (time.Time, uint64) { return f.lag.Since(), f.lag.Newest() }
+
+// NextWake returns when Next may have a request without further events, or the zero time.
+func (f *Fetcher) NextWake(now time.Time) time.Time {
+	if f.waiting {
+		return f.dueAt
+	}
+	if since := f.lag.Since(); !since.IsZero() && now.Sub(since) < grace {
+		return since.Add(grace)
+	}
+	return time.Time{}
 }
 
 // Next returns the request to send now, if there is one.
@@ -136,9 +145,11 @@
 	}
 }
 
-// continues reports whether a coordinator has sent a part of a document and is linked.
+// continues reports whether a coordinator may have the rest of the document that has
+// arrived in part.
 func (f *Fetcher) continues(peer string) bool {
-	return len(f.partial.data) > 0 && f.sources[peer] != nil
+	s := f.sources[peer]
+	return len(f.partial.data) > 0 && s != nil && s.version >= f.partial.version
 }
 
 // choose returns the coordinator to ask, which is one of those with the newest version.
--- a/cluster/documents/fetcher_test.go
+++ b/cluster/documents/fetcher_test.go
@@ -191,6 +191,39 @@
 		Expect(next(2).Peer).To(Equal("b"))
 	})
 
+	// Guards against a coordinator that has started again with an older log and is asked
+	// for the rest of a document without end, while another one has it.
+	It("turns to another coordinator when one has lost the document", func() {
+		hold("a", encoded(1, 0))
+		f.Announced(at(-100), "a", true, 1)
+		answer(next(0))
+		f.Finished(at(1), 1)
+		hold("a", encoded(2, 1))
+		hold("b", encoded(2, 1))
+		f.Announced(at(100), "a", true, 2)
+		f.Announced(at(100), "b", false, 2)
+		Expect(answer(next(101))).To(BeNil())
+		f.Lost("a")
+		sources["a"] = documents.NewSource()
+		hold("a", encoded(1, 0))
+		f.Announced(at(110), "a", true, 1)
+		Expect(next(160).Peer).To(Equal("b"))
+	})
+
+	// Guards against a loop that sleeps while a request is due.
+	It("says when it has a request without further events", func() {
+		hold("far", encoded(1, 0))
+		Expect(f.NextWake(at(0))).To(BeZero())
+		f.Announced(at(0), "far", false, 1)
+		Expect(f.NextWake(at(0))).To(Equal(at(50)))
+		none(49)
+		request := next(50)
+		Expect(f.NextWake(at(50))).To(Equal(at(350)))
+		answer(request)
+		f.Finished(at(51), 1)
+		Expect(f.NextWake(at(51))).To(BeZero())
+	})
+
 	// Guards against a damaged document that is obeyed, or that stops the fetch.
 	It("begins anew after a wrong checksum", func() {
 		document := encoded(1, 0)
--- a/cluster/documents/lag.go
+++ b/cluster/documents/lag.go
@@ -50,6 +50,15 @@
 	return now.Sub(l.announced[0].at)
 }
 
+// Since returns when this process heard first of a version that it does not hold, or the
+// zero time if it holds the newest one.
+func (l *Lag) Since() time.Time {
+	if len(l.announced) == 0 {
+		return time.Time{}
+	}
+	return l.announced[0].at
+}
+
 // Newest returns the newest version that this process holds or has heard of.
 func (l *Lag) Newest() uint64 {
 	if n := len(l.announced); n > 0 {
