Check in processes that gateways obey acknowledged documents

Neither the soak nor another test of processes looked at what gateways obey: they read the document back from coordinators, each version had the same queues, and none was large. This is why they could not find the late configurations.

The soak asks each gateway at its end, and a new spec asks after a restart beside a coordinator that has missed the changes. They were not run on the code before the fix: links on the loopback device are too fast to show its cause.

--- a/integration/deployment/calls.go
+++ b/integration/deployment/calls.go
@@ -72,6 +72,18 @@
 	return d.client.Version(ctx, coordinator.Machine.IP)
 }
 
+// ObeyedVersion returns the version of the document that a gateway obeys, or 0 if it is
+// older than the highest acknowledged one.
+func (d *Deployment) ObeyedVersion(ctx context.Context, gateway *Process) (uint64, error) {
+	for version := d.version; version >= max(d.acknowledged, 1); version-- {
+		obeys, err := d.client.Obeys(ctx, gateway.Machine.IP, version)
+		if obeys || err != nil {
+			return version, err
+		}
+	}
+	return 0, nil
+}
+
 // AcknowledgedVersion returns the highest acknowledged version of the document.
 func (d *Deployment) AcknowledgedVersion() uint64 { return d.acknowledged }
 
--- a/integration/deployment/deployment_test.go
+++ b/integration/deployment/deployment_test.go
@@ -50,6 +50,26 @@
 		Expect(d.WaitServing(ctx, jobID(999_998))).To(Succeed())
 	})
 
+	// Guards against a gateway that obeys an older configuration after its restart, beside
+	// a coordinator that has missed the changes, and against a queue that was added and is
+	// not served.
+	It("obeys acknowledged documents everywhere, beside a coordinator that has missed them", specTimeout, func(ctx SpecContext) {
+		d := start(ctx, 2, 3, 1)
+		Expect(d.Coordinators[2].Signal(syscall.SIGSTOP)).To(Succeed())
+		for range 8 {
+			Eventually(ctx, func() error { return d.ReplaceDocument(ctx, d.Coordinators[0]) }).WithTimeout(20 * time.Second).Should(Succeed())
+		}
+		Expect(d.Gateways[1].Kill()).To(Succeed())
+		Expect(d.Gateways[1].Start()).To(Succeed())
+		Expect(d.Coordinators[2].Signal(syscall.SIGCONT)).To(Succeed())
+		for _, gateway := range d.Gateways {
+			Eventually(ctx, func() (uint64, error) { return d.ObeyedVersion(ctx, gateway) }).WithTimeout(20 * time.Second).
+				Should(Equal(d.AcknowledgedVersion()))
+			Consistently(ctx, func() (uint64, error) { return d.ObeyedVersion(ctx, gateway) }).WithTimeout(2 * time.Second).
+				Should(Equal(d.AcknowledgedVersion()))
+		}
+	})
+
 	// Guards against a resumed coordinator that acts on expired leases and closed
 	// links.
 	It("keeps its guarantees when a coordinator is paused", specTimeout, func(ctx SpecContext) {
--- a/integration/deployment/soak_test.go
+++ b/integration/deployment/soak_test.go
@@ -112,8 +112,9 @@
 	for seed := first; seed < first+count; seed++ {
 		// Guards against lost accepted jobs, tasks that run twice and lost documents
 		// under random sequences of signals to processes, silent targets, faults of the
-		// connections to targets, and faults of the targets themselves; and against starts
-		// in a data centre that operators have evacuated meanwhile.
+		// connections to targets, and faults of the targets themselves; against starts in a
+		// data centre that operators have evacuated meanwhile; and against gateways that obey
+		// an older document than the acknowledged one.
 		It(fmt.Sprintf("loses no accepted job and runs no task twice, seed %d", seed), SpecTimeout(duration+120*time.Second), func(ctx SpecContext) {
 			s := &soak{d: start(ctx, 2, 3+int(seed%2), 6), random: rand.New(rand.NewPCG(seed, 7)), caller: &jobCaller{}, stored: &storedJobs{}}
 			faults := &targetFaults{d: s.d, random: rand.New(rand.NewPCG(seed, 8)), stored: s.stored}
@@ -139,6 +140,10 @@
 				Eventually(ctx, func() (uint64, error) { return s.d.DocumentVersion(ctx, coordinator) }).
 					WithTimeout(20*time.Second).Should(BeNumerically(">=", s.d.AcknowledgedVersion()), "document at "+coordinator.Machine.IP)
 			}
+			for _, gateway := range s.d.Gateways {
+				Eventually(ctx, func() (uint64, error) { return s.d.ObeyedVersion(ctx, gateway) }).
+					WithTimeout(20*time.Second).Should(BeNumerically(">=", s.d.AcknowledgedVersion()), "obeyed by "+gateway.Machine.IP)
+			}
 		})
 	}
 })
