Test that answers pass beside a large document

While a document of 600 KB is on a link of 200,000 B/s, an answer from each of three coordinators passes within four pieces.

--- a/cluster/documentlinks_test.go
+++ b/cluster/documentlinks_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"hawthornshore.example/cluster/documents"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -210,6 +211,31 @@
 		Expect(n.link.sentBytes()).To(BeNumerically("<", 3*(changes+1)*size/2), "sent altogether")
 	})
 
+	// Pattern: answers to callers beside a large document. Guards against answers and
+	// heartbeats that wait until the document has passed.
+	It("lets an answer of any coordinator pass after a few pieces", func() {
+		const size, coordinators = 600_000, 3
+		n := startDocumentNetwork(200_000, coordinators)
+		n.apply(testDocument(1, size))
+		Eventually(n.link.sentBytes, "20s", "1ms").Should(BeNumerically(">", size/10))
+		answers := make(chan Answer, coordinators)
+		before := n.link.sentBytes()
+		for i, c := range n.coordinators {
+			ref := uint64(i + 1)
+			n.gateway.mu.Lock()
+			n.gateway.pending[ref] = &pendingJob{coordinator: c.options.Name, answer: answers}
+			n.gateway.mu.Unlock()
+			Expect(c.send(n.gateway.options.Name, &wire.Envelope{Body: &wire.Envelope_SubmissionAnswer{
+				SubmissionAnswer: &wire.SubmissionAnswer{Ref: ref, Outcome: wire.JobOutcome(placement.Completed)},
+			}})).To(BeTrue())
+		}
+		for range coordinators {
+			Eventually(answers, "20s", "1ms").Should(Receive())
+		}
+		Expect(n.link.sentBytes() - before).To(BeNumerically("<", 4*documents.PieceBytes))
+		Expect(n.gatewayVersion()).To(BeZero(), "the document is still on its way")
+	})
+
 	// Guards against gateways of an earlier version, which request nothing, being left
 	// with an old document during an upgrade.
 	It("is sent unasked to a gateway that does not request it", func() {
