--- a/review/standin-2/first.go
+++ b/review/standin-2/first.go
@@ -19,7 +19,6 @@
 		return nil, err
 	}
 	defer c.close()
-	time.Sleep(300 * time.Millisecond)
 	if trouble {
 		lost := c.cores[1]
 		c.kill(lost)
