Let an instance that may not vote forget a silent leader

A coordinator that was added while the others were split answered every read of the document with 503 for good; stored jobs that moved to it at later restarts never ran.

Cause: the leader in the smaller half had appended the addition and had begun to replicate to the new instance, but the entry was never committed, and the next leader does not know it. Only a pre-candidate forgot its leader, and an instance that is no voter by its own log never becomes one. The joiner asks to be added only while no leader is known, so the instance waited for the old leader for good.

Change: an instance that may not campaign forgets its leader after the election timeout without a message from it. It starts no vote and keeps its term and its log.

Ruled out: the joiner of the new leader, which admits an instance as soon as it asks: the same spec passes with this change alone.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -167,7 +167,7 @@
 		}
 		return c.heartbeatDue
 	}
-	if !c.canCampaign() {
+	if c.leader == "" && !c.canCampaign() {
 		return time.Time{}
 	}
 	return c.electionDue
@@ -196,8 +196,14 @@
 		c.leaderTick()
 		return
 	}
-	if !c.now.Before(c.electionDue) && c.canCampaign() {
+	switch {
+	case c.now.Before(c.electionDue):
+	case c.canCampaign():
 		c.becomePreCandidate()
+	case c.leader != "":
+		// The leader may not know this instance: the entry that added it can be lost
+		// with the leadership. Without a leader the instance asks to be added again.
+		c.becomeFollower(c.term, "")
 	}
 }
 
--- a/consensus/rules_test.go
+++ b/consensus/rules_test.go
@@ -196,6 +196,31 @@
 		Expect(s.sent()[0].GetAppendReply().GetMatch()).To(Equal(uint64(2)))
 	})
 
+	// Guards against an instance that no committed member list has and that waits for
+	// good for the leader that has added it: it asks to be added only without a leader.
+	DescribeTable("forgets a silent leader although it may not campaign", func(entry *consensus.Entry, message *consensus.Message) {
+		s := newTestCore(1, entry)
+		s.receive("b", message)
+		Expect(s.core.Status().Leader).To(Equal("b"))
+		s.advance(timeout - time.Millisecond)
+		Expect(s.core.Status().Leader).To(Equal("b"), "the leader was forgotten within the election timeout")
+		Expect(s.core.NextWake()).NotTo(BeZero(), "no timer checks for the leader")
+		s.now = s.core.NextWake()
+		s.step(consensus.Tick{})
+		Expect(s.core.Status().Leader).To(BeEmpty())
+		Expect(s.core.Status().Role).To(Equal(consensus.Follower))
+		Expect(s.core.Status().Term).To(Equal(uint64(2)))
+		Expect(s.sent()).To(BeEmpty(), "an instance that is no voter campaigned")
+	},
+		Entry("a learner", members([]string{"b", "c"}, []string{"a"}), heartbeat(2)),
+		Entry("a voter whose removal is committed", members([]string{"b", "c"}, nil), heartbeat(2)),
+		Entry("an instance that receives a snapshot", members([]string{"b", "c"}, nil), &consensus.Message{
+			Term: 2, Body: &consensus.Message_SnapshotPiece{SnapshotPiece: &consensus.SnapshotPiece{
+				Snapshot: &consensus.Snapshot{Index: 9, Term: 2}, Total: 20, Piece: make([]byte, 10),
+			}},
+		}),
+	)
+
 	// Guards against an instance with a broken link that deposes a working leader.
 	It("ignores vote requests while it has a leader, except for a leadership transfer", func() {
 		s := newTestCore(1, members(abc, nil))
--- a/consensus/schedules_test.go
+++ b/consensus/schedules_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,7 +29,7 @@
 		return
 	}
 	name := s.names[s.random.IntN(len(s.names))]
-	switch s.random.IntN(16) {
+	switch s.random.IntN(18) {
 	case 0, 1:
 		s.crash(name)
 		s.after(s.between(50, 2000), func() { s.restart(name) })
@@ -59,6 +60,8 @@
 			s.crash(all)
 			s.after(s.between(50, 400), func() { s.restart(all) })
 		}
+	case 16, 17:
+		s.replaceDuringSplit(name, until)
 	}
 	s.after(s.between(50, 800), func() { s.injectFault(until) })
 }
@@ -69,6 +72,33 @@
 	}
 }
 
+// replaceDuringSplit replaces an instance by one with an empty disk and separates it
+// soon after, with one other instance, from the rest.
+func (s *simulation) replaceDuringSplit(name string, until time.Time) {
+	if !s.mayLoseDisk() {
+		return
+	}
+	s.loseDisk(name)
+	s.after(s.between(50, 200), func() { s.restart(name) })
+	other := s.names[s.random.IntN(len(s.names))]
+	s.after(s.between(200, 1500), func() {
+		if s.now.Before(until) {
+			s.split([]string{name, other})
+		}
+	})
+}
+
+// split cuts the links between some instances and all others.
+func (s *simulation) split(side []string) {
+	for _, a := range s.names {
+		for _, b := range s.names {
+			if slices.Contains(side, a) != slices.Contains(side, b) {
+				s.blocked[[2]string{a, b}] = true
+			}
+		}
+	}
+}
+
 func (s *simulation) removeVoter(name string) {
 	if leader := s.leader(); leader != nil && len(leader.core.Status().Members.GetVoters()) > 3 {
 		s.changeMembers(leader, consensus.RemoveMember, s.members[name].id())
@@ -86,7 +116,8 @@
 	})
 }
 
-// reconcileMembers adds instances that are not voters again, as package node does.
+// reconcileMembers adds instances that are not voters again, as package node does: an
+// instance asks to be added only while it knows no leader.
 func (s *simulation) reconcileMembers() {
 	defer s.after(s.between(50, 200), s.reconcileMembers)
 	leader := s.leader()
@@ -99,7 +130,9 @@
 		switch {
 		case members.HasVoter(id):
 		case !members.HasLearner(id):
-			s.changeMembers(leader, consensus.AddLearner, id)
+			if m := s.members[name]; m.core != nil && m.core.Status().Leader == "" {
+				s.changeMembers(leader, consensus.AddLearner, id)
+			}
 		case s.replacedVoter(members, name) != "" && leader.core.CaughtUp(id):
 			s.changeMembers(leader, consensus.RemoveMember, s.replacedVoter(members, name))
 		case s.random.IntN(8) == 0:
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -4,15 +4,15 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"hawthornshore.example/emulator"
 	"hawthornshore.example/integration/faultproxy"
 	"hawthornshore.example/placement"
@@ -35,6 +35,8 @@
 	Coordinators  []*Process
 	Targets       []*standin.Target
 	TargetProxies []*faultproxy.Proxy // in front of the targets, in the order of Targets
+	spares        []*Process          // coordinators that are not started yet
+	links         map[linkEnds]*faultproxy.Proxy
 	folder        string
 	epoch         time.Time
 	client        standin.Client
@@ -55,8 +57,10 @@
 	Gateways     int
 	Coordinators int
 	Targets      int
-	MemoryMB     int // of each machine, 0: the stand-in's default
-	MaxFDs       int // of each machine, 0: not in the settings
+	Spares       int  // coordinators that AddCoordinator starts later
+	ProxyLinks   bool // puts a proxy into each link between two processes; see Split
+	MemoryMB     int  // of each machine, 0: the stand-in's default
+	MaxFDs       int  // of each machine, 0: not in the settings
 }
 
 // Start starts all processes and targets.
@@ -75,23 +79,35 @@
 			seeds = append(seeds, ip)
 		}
 	}
-	for i := range options.Coordinators + options.Gateways {
-		core := i < options.Coordinators
+	for i := range options.Coordinators + options.Spares + options.Gateways {
+		core := i < options.Coordinators+options.Spares
 		machine := standin.Machine{IP: address(options.Network, 10+i), DataCentre: fmt.Sprintf("dc%d", i%2), Core: core, Zones: zones, MemoryMB: options.MemoryMB, MaxFDs: options.MaxFDs}
-		boot, err := standin.WriteSettings(options.Folder, machine, seeds, ports, true)
-		if err != nil {
-			return nil, errors.Annotate(err, "write settings")
-		}
-		p := newProcess(options.Folder, options.Binary, boot, machine)
-		if err := p.Start(); err != nil {
-			return nil, err
+		p := newProcess(options.Folder, options.Binary, seeds, machine)
+		if options.ProxyLinks {
+			p.ports.Link += linkPortStep * (1 + i)
 		}
-		if core {
+		switch {
+		case i < options.Coordinators:
 			d.Coordinators = append(d.Coordinators, p)
-		} else {
+		case core:
+			d.spares = append(d.spares, p)
+		default:
 			d.Gateways = append(d.Gateways, p)
 		}
 	}
+	if options.ProxyLinks {
+		if err := d.proxyLinks(); err != nil {
+			return nil, err
+		}
+	}
+	for _, p := range append(d.Gateways, d.Coordinators...) {
+		if err := p.writeSettings(true); err != nil {
+			return nil, err
+		}
+		if err := p.Start(); err != nil {
+			return nil, err
+		}
+	}
 	return d, d.startTargets(ctx, options.Targets)
 }
 
@@ -167,7 +183,7 @@
 	for _, p := range append(d.Gateways, d.Coordinators...) {
 		p.currentProcess().KillIfRunning()
 	}
-	for _, proxy := range d.TargetProxies {
+	for _, proxy := range slices.Concat(d.TargetProxies, slices.Collect(maps.Values(d.links))) {
 		_ = proxy.Close() // the processes have closed its connections
 	}
 }
--- a/integration/deployment/process.go
+++ b/integration/deployment/process.go
@@ -18,6 +18,8 @@
 type Process struct {
 	Machine standin.Machine
 	binary  string
+	seeds   []string
+	ports   standin.Ports
 	boot    string // settings file
 	folder  string
 	log     string
@@ -26,13 +28,21 @@
 	current *process.Process
 }
 
-func newProcess(folder, binary, boot string, machine standin.Machine) *Process {
+func newProcess(folder, binary string, seeds []string, machine standin.Machine) *Process {
 	return &Process{
-		Machine: machine, binary: binary, boot: boot, folder: folder,
+		Machine: machine, binary: binary, seeds: seeds, ports: ports, folder: folder,
 		log: filepath.Join(folder, machine.IP+".log"),
 	}
 }
 
+// writeSettings writes the settings file for the first start of the whole system, or for
+// a later one.
+func (p *Process) writeSettings(firstStart bool) error {
+	boot, err := standin.WriteSettings(p.folder, p.Machine, p.seeds, p.ports, firstStart)
+	p.boot = boot
+	return errors.Annotate(err, "write settings")
+}
+
 // Start starts the process.
 func (p *Process) Start() error {
 	role := map[bool]string{false: "gateway", true: "coordinator"}[p.Machine.Core]
--- a/integration/deployment/suite_test.go
+++ b/integration/deployment/suite_test.go
@@ -41,14 +41,19 @@
 
 // start starts a deployment and waits until it serves jobs.
 func start(ctx context.Context, gateways, coordinators, targets int) *deployment.Deployment {
+	GinkgoHelper()
+	return startWith(ctx, deployment.Options{Gateways: gateways, Coordinators: coordinators, Targets: targets})
+}
+
+// startWith starts a deployment with other options, of which it sets the paths and the
+// network.
+func startWith(ctx context.Context, options deployment.Options) *deployment.Deployment {
 	GinkgoHelper()
 	binary, err := program()
 	Expect(err).NotTo(HaveOccurred())
 	targetsContext, stopTargets := context.WithCancel(context.Background())
-	d, err := deployment.Start(targetsContext, deployment.Options{
-		Folder: GinkgoT().TempDir(), Binary: binary, Network: network(),
-		Gateways: gateways, Coordinators: coordinators, Targets: targets,
-	})
+	options.Folder, options.Binary, options.Network = GinkgoT().TempDir(), binary, network()
+	d, err := deployment.Start(targetsContext, options)
 	DeferCleanup(func() {
 		stopTargets()
 		d.Close()
--- a/integration/faultproxy/proxy.go
+++ b/integration/faultproxy/proxy.go
@@ -69,8 +69,11 @@
 }
 
 // New returns a proxy that listens on a free port of 127.0.0.1.
-func New(server string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(server string) (*Proxy, error) { return NewAt("127.0.0.1:0", server) }
+
+// NewAt returns a proxy that listens on an address.
+func NewAt(address, server string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Annotate(err, "listening")
 	}
--- a/storage/group_test.go
+++ b/storage/group_test.go
@@ -32,7 +32,8 @@
 	seeds           []string // initial voters; if set, others join as learners. If empty, all names are the peers.
 	instances       map[string]*instance
 	isolated        map[string]bool
-	sent            atomic.Int64 // bytes
+	side            map[string]bool // cut off from all others, not from each other
+	sent            atomic.Int64    // bytes
 	messages        atomic.Int64
 	written         atomic.Int64 // bytes
 }
@@ -54,7 +55,7 @@
 func (t transport) Send(peer string, data []byte) {
 	t.group.mu.Lock()
 	target := t.group.instances[peer]
-	isolated := t.group.isolated[peer] || t.group.isolated[t.from]
+	isolated := t.group.isolated[peer] || t.group.isolated[t.from] || t.group.side[peer] != t.group.side[t.from]
 	t.group.mu.Unlock()
 	t.group.sent.Add(int64(len(data)))
 	t.group.messages.Add(1)
@@ -264,15 +265,8 @@
 	// Guards against a voter that is lost for good and not replaced, so that the
 	// next loss ends the majority, and against more voters than are wanted.
 	It("promotes a learner in place of a voter that stays unreachable", func() {
-		g := &group{
-			root: GinkgoT().TempDir(), names: []string{"a", "b", "c", "d"}, seeds: []string{"a", "b", "c"},
-			core:      consensus.Options{ElectionTimeout: 300 * time.Millisecond},
-			instances: map[string]*instance{}, isolated: map[string]bool{},
-		}
-		DeferCleanup(g.stop)
-		for _, name := range g.names {
-			g.start(name)
-		}
+		g := admittingGroup(300 * time.Millisecond)
+		g.start("d")
 		Eventually(voters(g), time.Minute).Should(ConsistOf("a", "b", "c"))
 		Expect(g.change("op-1")).To(Equal(uint64(1)))
 		Eventually(func() []string {
@@ -287,8 +281,61 @@
 		g.start("c")
 		g.expectVersion(3)
 	})
+
+	// Guards against an added instance that stays outside of the log for good, because the
+	// leader that it follows has lost its term before the addition was committed.
+	It("admits an instance again whose addition was lost with the leader", func() {
+		g := admittingGroup(2 * time.Second) // the leader adds d before it steps down
+		Expect(g.change("before")).To(Equal(uint64(1)))
+		g.addDuringSplit()
+		g.setSide()
+		Expect(g.change("after")).To(BeNumerically(">", 1))
+		Eventually(func(ok Gomega) {
+			_, leader := g.leader()
+			ok.Expect(leader.node.Status().Learners).To(ConsistOf("d"))
+			ok.Expect(g.get("d").store.Version()).To(Equal(leader.store.Version()))
+		}, time.Minute).Should(Succeed())
+	})
 })
 
+// admittingGroup starts a group of a, b and c, which admits d.
+func admittingGroup(electionTimeout time.Duration) *group {
+	g := &group{
+		root: GinkgoT().TempDir(), names: []string{"a", "b", "c", "d"}, seeds: []string{"a", "b", "c"},
+		core:      consensus.Options{ElectionTimeout: electionTimeout},
+		instances: map[string]*instance{}, isolated: map[string]bool{},
+	}
+	DeferCleanup(g.stop)
+	for _, name := range g.seeds {
+		g.start(name)
+	}
+	return g
+}
+
+// setSide cuts instances off from all others, or ends the split if there are none.
+func (g *group) setSide(names ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.side = map[string]bool{}
+	for _, name := range names {
+		g.side[name] = true
+	}
+}
+
+// addDuringSplit starts d on the side of the leader, which cannot commit its addition,
+// and waits until the other side has a leader, which does not know d.
+func (g *group) addDuringSplit() {
+	old, _ := g.leader()
+	g.setSide(old, "d")
+	g.start("d")
+	Eventually(func() string { return g.get("d").node.Leader() }, time.Minute, time.Millisecond).Should(Equal(old))
+	Eventually(func() bool {
+		return slices.ContainsFunc(g.seeds, func(name string) bool {
+			return name != old && g.get(name).node.Status().CommittedInTerm
+		})
+	}, time.Minute).Should(BeTrue(), "the larger side has no leader")
+}
+
 var _ = Describe("A group of nodes on disks", func() {
 	// Guards against changes that are lost or applied twice by a restart from the log
 	// and snapshots.
