Keep stored jobs at coordinators that follow the log

Stored jobs that moved to a coordinator outside of the log were `queued` or `running` for good, with idle targets, and stayed there after each later loss of a coordinator.

Cause: a home was chosen among the coordinators with a link, and kept while it had one. A link does not show that a coordinator follows the log, from which it learns of its jobs, nor that it can confirm its right to start them.

Change: coordinators report the age of their newest read of the log to its end with the heartbeats of their links; one without stored jobs reads about once a second. Jobs move only to coordinators with a read of at most 1.5 s, and the leader gives up a home that is linked and has not read for 3 s (new line home_lost). Earlier versions report nothing and are fit while linked, as before.

--- a/cluster/catchup.go
+++ b/cluster/catchup.go
@@ -45,6 +45,13 @@
 	u.confirmed, u.startedAt = true, max(u.startedAt, startedAt)
 }
 
+// newestRead returns when the newest successful read began, if there was one.
+func (u *catchUp) newestRead() (startedAt time.Duration, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.startedAt, u.confirmed
+}
+
 // check returns nil if the log was read to its end within caughtUpFor, or is now. A read
 // outlives the submission that has started it.
 func (u *catchUp) check(ctx context.Context) error {
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -78,6 +78,11 @@
 	dataCentre  string
 	home        string // its process, as a home of stored jobs
 	draining    bool
+	// reportsLogReads is set for coordinators whose heartbeats report their newest read of
+	// the log; earlier versions do not.
+	reportsLogReads bool
+	hasReadLog      bool
+	logReadAt       time.Duration // when that read began, at the latest; boottimeNow
 	// requestsDocuments is set for gateways that fetch the document; the fields below
 	// are for the others, of earlier versions.
 	requestsDocuments bool
@@ -101,7 +106,7 @@
 		evacuationHeld: make(chan struct{}, 1),
 	}
 	hello := newHello(options.Name, options.DataCentre)
-	hello.Voter = true
+	hello.Voter, hello.ReportsLogReads = true, true
 	c.options.Placement.Home = homeName(hello)
 	c.options.Placement.FirstRef = firstRef()
 	c.logNode = &logNode{
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -291,6 +291,9 @@
 func (l *placementLoop) logStatus() {
 	s := l.core.Status()
 	l.gauges.set(&s)
+	if readAt, ok := l.coordinator.logNode.catchUp.newestRead(); ok {
+		logReadAge.Set((boottimeNow() - readAt).Seconds())
+	}
 	l.coordinator.options.RequestLogger.Info().Str("event", "placement_status").Int("jobs", s.Jobs).Int("queued", s.Queued).
 		Int("targets", s.Targets).Int("usable", s.Usable).Int("runs", s.Runs).Int64("free_millis", s.FreeCPUMillis).
 		Int("peers", s.Peers).Int("peer_rooms", s.PeerTargets).Int64("peer_free_millis", s.PeerFreeCPUMillis).Send()
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
 
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
@@ -88,6 +89,9 @@
 	state, ok := c.linked[peer]
 	if ok {
 		state.documentVersion, state.draining = beat.GetConfigVersion(), beat.GetDraining()
+		if beat.LogReadAgeMs != nil {
+			state.hasReadLog, state.logReadAt = true, boottimeNow()-fromMS(beat.GetLogReadAgeMs())
+		}
 		c.linked[peer] = state
 	}
 	gateway := ok && !state.coordinator
@@ -134,7 +138,7 @@
 	c.mu.Lock()
 	c.linked[name] = peerState{
 		coordinator: hello.GetVoter(), dataCentre: hello.GetDataCentre(), home: homeName(hello),
-		requestsDocuments: hello.GetRequestsDocuments(),
+		requestsDocuments: hello.GetRequestsDocuments(), reportsLogReads: hello.GetReportsLogReads(),
 	}
 	if hello.GetVoter() {
 		c.directory[name] = hello.GetDataCentre()
@@ -199,11 +203,12 @@
 
 // Heartbeat returns the body of the next heartbeat.
 func (c *Coordinator) Heartbeat() *wire.Heartbeat {
+	beat := &wire.Heartbeat{ClockUnixMs: time.Now().UnixMilli()}
+	if readAt, ok := c.logNode.catchUp.newestRead(); ok {
+		beat.LogReadAgeMs = proto.Int64(ms(boottimeNow() - readAt))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return &wire.Heartbeat{
-		ClockUnixMs:   time.Now().UnixMilli(),
-		ConfigVersion: c.document.Version,
-		Draining:      c.draining,
-	}
+	beat.ConfigVersion, beat.Draining = c.document.Version, c.draining
+	return beat
 }
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -76,6 +76,9 @@
 	g.freeMillis.Set(float64(s.FreeCPUMillis))
 }
 
+// logReadAge is the age of the newest read of the log to its end.
+var logReadAge = metrics.GetOrCreateGauge("hawthorn_log_read_age_seconds", nil)
+
 // evacuatedDataCentres is the number of evacuated data centres, as the core has it.
 var evacuatedDataCentres = metrics.GetOrCreateGauge("hawthorn_evacuated_data_centres", nil)
 
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -7,25 +7,10 @@
 	"github.com/juju/errors"
 
 	"hawthornshore.example/cluster/admission"
-	"hawthornshore.example/consensus"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
 
-const (
-	// confirmInterval is how often a home of stored jobs confirms that it still is
-	// their home; a confirmation allows it to start runs for five times as long.
-	confirmInterval = 300 * time.Millisecond
-	// homeCheckInterval is how often the leader checks for lost homes.
-	homeCheckInterval = 250 * time.Millisecond
-	// homeLostAfter is the time without a link to the leader after which a home is
-	// lost and its jobs move; a reset link is up again within half a second.
-	homeLostAfter = 1500 * time.Millisecond
-)
-
-// homeName returns the name of a coordinator's process as a home of stored jobs.
-func homeName(hello *wire.Hello) string { return hello.GetInstance() + "/" + hello.GetIncarnation() }
-
 // handleStoredSubmission stores a job in the log and answers its gateway.
 func (c *Coordinator) handleStoredSubmission(ctx context.Context, gateway string, submission *wire.Submission) {
 	answer := c.storeJob(ctx, submission)
@@ -165,107 +150,3 @@
 		}
 	}
 }
-
-// confirmHomeLoop confirms that this coordinator is the home of its stored jobs
-// while it has any.
-func (c *Coordinator) confirmHomeLoop(ctx context.Context) error {
-	ticker := time.NewTicker(confirmInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-c.confirmNow:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if c.logNode.store.openJobs(c.options.Placement.Home) > 0 {
-			c.confirmHome(ctx)
-		}
-	}
-}
-
-func (c *Coordinator) confirmHome(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, logOperationTimeout)
-	defer cancel()
-	start := boottimeNow()
-	if err := c.logNode.readBarrier(ctx); err != nil {
-		c.options.Logger.Warn().Str("event", "home_not_confirmed").Err(err).Send()
-		return
-	}
-	c.loop.push(placement.LogReadConfirmed{StartedAt: start})
-}
-
-// moveHomesLoop moves the jobs of lost homes while this coordinator is the leader.
-func (c *Coordinator) moveHomesLoop(ctx context.Context) error {
-	ticker := time.NewTicker(homeCheckInterval)
-	defer ticker.Stop()
-	unlinkedSince := map[string]time.Duration{}
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		if n := c.logNode.node.Load(); n == nil || n.Status().Role != consensus.Leader {
-			clear(unlinkedSince)
-			continue
-		}
-		for _, home := range c.lostHomes(unlinkedSince) {
-			if err := c.moveHome(ctx, home); err != nil {
-				c.options.Logger.Warn().Str("event", "home_not_moved").Str("home", home).Err(err).Send()
-			}
-		}
-	}
-}
-
-// lostHomes returns the homes without a link for homeLostAfter. It updates
-// unlinkedSince, the boot time at which each home was first found without a link.
-func (c *Coordinator) lostHomes(unlinkedSince map[string]time.Duration) []string {
-	now := boottimeNow()
-	linked := map[string]bool{c.options.Placement.Home: true}
-	c.mu.Lock()
-	for _, state := range c.linked {
-		linked[state.home] = true
-	}
-	c.mu.Unlock()
-	homes := c.logNode.store.openJobsByHome()
-	var lost []string
-	for home := range homes {
-		since, ok := unlinkedSince[home]
-		switch {
-		case linked[home]:
-			delete(unlinkedSince, home)
-		case !ok:
-			unlinkedSince[home] = now
-		case now-since >= homeLostAfter:
-			lost = append(lost, home)
-		}
-	}
-	return lost
-}
-
-// moveHome moves the stored jobs of a home to a coordinator that is not draining.
-func (c *Coordinator) moveHome(ctx context.Context, home string) error {
-	c.mu.Lock()
-	var candidates []string
-	if !c.draining {
-		candidates = append(candidates, c.options.Placement.Home)
-	}
-	for _, state := range c.linked {
-		if state.coordinator && !state.draining && state.home != home {
-			candidates = append(candidates, state.home)
-		}
-	}
-	c.mu.Unlock()
-	to := rendezvous(home, candidates)
-	if to == "" {
-		return errors.NotFoundf("another home")
-	}
-	ctx, cancel := context.WithTimeout(ctx, logOperationTimeout)
-	defer cancel()
-	_, err := c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
-		Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: home, To: to}},
-	}}})
-	c.options.Logger.Info().Str("event", "home_moved").Str("home", home).Str("peer", to).Err(err).Send()
-	return errors.Annotate(err, "move home")
-}
--- /dev/null
+++ b/placement/homes_test.go
@@ -0,0 +1,31 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("homes of stored jobs", func() {
+	// Guards against jobs that wait for good at a home whose links are up and that no
+	// longer follows the log, and against runs of both homes at the same time.
+	It("are given up when they stop following the log", func() {
+		first, count := seedRange()
+		for seed := first; seed < first+count; seed++ {
+			s := newSimulation(seed, 3, 12)
+			s.storedShare = 0.7
+			detached := s.coordinators[s.random.IntN(len(s.coordinators))]
+			begin := s.now
+			s.load(40, begin+8*time.Second)
+			s.after(3*time.Second, func() { s.detach(detached) })
+			s.run(begin + 25*time.Second)
+			Expect(s.violations).To(BeEmpty(), "seed %d", seed)
+			Expect(s.log.unfinished()).To(BeEmpty(), "seed %d: stored jobs without an end", seed)
+			s.attach(detached)
+			s.run(begin + 30*time.Second)
+			expectInvariants(s, seed)
+			Expect(s.log.completed).To(BeNumerically(">", 100), "seed %d", seed)
+		}
+	})
+})
--- a/placement/schedules_test.go
+++ b/placement/schedules_test.go
@@ -158,6 +158,13 @@
 				})
 			}
 		}},
+		"stored jobs, coordinators that stop following the log": {perSecond: 40, storedShare: 0.7, injectFaults: func(s *simulation) {
+			for i := range 3 {
+				c := s.coordinators[s.random.IntN(len(s.coordinators))]
+				s.after(time.Duration(i)*3*time.Second, func() { s.detach(c) })
+				s.after(time.Duration(i)*3*time.Second+s.randomTime(5*time.Second), func() { s.attach(c) })
+			}
+		}},
 		"stored jobs, targets handed over and restarted": {perSecond: 45, storedShare: 0.7, injectFaults: func(s *simulation) {
 			for i := range 400 {
 				s.after(time.Duration(i)*15*time.Millisecond, s.handOver)
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -9,16 +9,18 @@
 
 	"hawthornshore.example/emulator"
 	"hawthornshore.example/jobtable"
+	"hawthornshore.example/jobtable/homes"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
 
 const (
 	proposeRetryDelay = 50 * time.Millisecond  // recordRetryDelay of cluster/recorder.go
-	confirmInterval   = 300 * time.Millisecond // as in cluster/stored.go
-	homeCheckInterval = 250 * time.Millisecond // as in cluster/stored.go
-	// homeTimeout replaces homeLostAfter of cluster/stored.go. It is shorter, so that
-	// homes move more often; no invariant depends on it.
+	caughtUpFor       = 2 * time.Second        // as in cluster/catchup.go
+	confirmInterval   = 300 * time.Millisecond // as in cluster/homes.go
+	homeCheckInterval = 250 * time.Millisecond // as in cluster/homes.go
+	// homeTimeout replaces homes.LostAfter. It is shorter, so that homes move more often;
+	// no invariant depends on it.
 	homeTimeout    = 200 * time.Millisecond
 	storedAttempts = 2         // maximum number of attempts of a stored task
 	logRetention   = time.Hour // longer than a simulation, so that ended jobs stay
@@ -27,19 +29,19 @@
 // simLog is the log of a simulation: one list of commands that each coordinator
 // applies in order, with its own delay.
 type simLog struct {
-	commands         []*wire.JobCommand
-	table            *jobtable.Table
-	unreachableSince map[string]time.Duration // when a home was first found unreachable
-	submitted        map[string]bool          // stored jobs whose acceptance is certain
-	completed        int
-	checkingHomes    bool
+	commands      []*wire.JobCommand
+	table         *jobtable.Table
+	watch         *homes.Watch    // of the leader
+	submitted     map[string]bool // stored jobs whose acceptance is certain
+	completed     int
+	checkingHomes bool
 
 	*emulator.RunChecker // checks the runs of stored jobs
 }
 
 func newSimLog() *simLog {
 	l := &simLog{
-		table: jobtable.New(logRetention), unreachableSince: map[string]time.Duration{}, submitted: map[string]bool{},
+		table: jobtable.New(logRetention), watch: homes.NewWatch(homeTimeout), submitted: map[string]bool{},
 	}
 	l.RunChecker = emulator.NewRunChecker(storedAttempts, func(task string) bool { return l.submitted[placement.JobID(task)] })
 	return l
@@ -62,7 +64,7 @@
 
 // startLog lets a new process apply the log from its beginning and confirm its home.
 func (s *simulation) startLog(c *simCoordinator) {
-	c.applied, c.table = 0, jobtable.New(logRetention)
+	c.applied, c.table, c.detached, c.hasReadLog = 0, jobtable.New(logRetention), false, false
 	incarnation := c.incarnation
 	s.applyPeriodically(c, incarnation)
 	s.readLogPeriodically(c, incarnation)
@@ -79,7 +81,7 @@
 		if c.incarnation != incarnation {
 			return
 		}
-		if !c.isolated && !c.paused {
+		if !c.isolated && !c.paused && !c.detached {
 			s.applyLog(c)
 		}
 		s.applyPeriodically(c, incarnation)
@@ -142,6 +144,7 @@
 		began, end := s.now, len(s.log.commands)
 		s.after(time.Duration(1+s.random.IntN(20))*time.Millisecond, func() {
 			if c.incarnation == incarnation && !c.isolated && c.applied >= end {
+				c.hasReadLog, c.logReadAt = true, began
 				s.step(c, placement.LogReadConfirmed{StartedAt: began})
 			}
 		})
@@ -214,7 +217,7 @@
 // store submits a stored job to a coordinator that reaches the log.
 func (s *simulation) store(job placement.Job) {
 	c := s.coordinators[s.random.IntN(len(s.coordinators))]
-	if c.down || c.paused || c.isolated {
+	if c.down || c.paused || c.isolated || c.detached && s.now-c.logReadAt >= caughtUpFor {
 		s.resubmit(job.ID)
 		return
 	}
@@ -229,42 +232,31 @@
 	})
 }
 
-// checkHomes checks the homes of all jobs every homeCheckInterval, without an end.
+// checkHomes moves the jobs of lost homes every homeCheckInterval, without an end.
 func (s *simulation) checkHomes() {
 	s.after(homeCheckInterval, func() {
-		reachable := map[string]bool{}
-		var choices []string
+		var linked []homes.Coordinator
 		for _, c := range s.coordinators {
 			if !c.down && !c.isolated && !c.paused {
-				reachable[c.home()] = true
-				choices = append(choices, c.home())
+				linked = append(linked, homes.Coordinator{Home: c.home(), ReportsReads: true, HasRead: c.hasReadLog, ReadAt: c.logReadAt})
 			}
 		}
-		homes := map[string]bool{}
-		for home := range s.log.table.Homes() {
-			homes[home] = true
-		}
-		for _, home := range sorted(homes) {
-			s.checkHome(home, reachable[home], choices)
+		open := slices.Collect(maps.Keys(s.log.table.Homes()))
+		for _, loss := range s.log.watch.Lost(s.now, open, linked) {
+			if candidates := homes.Candidates(s.now, linked, loss.Home); len(candidates) > 0 {
+				to := candidates[s.random.IntN(len(candidates))]
+				s.appendCommand(&wire.JobCommand{Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: loss.Home, To: to}}})
+			}
 		}
 		s.checkHomes()
 	})
 }
 
-// checkHome moves the jobs of a home to another one once it has been unreachable for
-// homeTimeout.
-func (s *simulation) checkHome(home string, reachable bool, choices []string) {
-	since, recorded := s.log.unreachableSince[home]
-	switch {
-	case reachable:
-		delete(s.log.unreachableSince, home)
-	case !recorded:
-		s.log.unreachableSince[home] = s.now
-	case s.now-since >= homeTimeout && len(choices) > 0:
-		to := choices[s.random.IntN(len(choices))]
-		s.appendCommand(&wire.JobCommand{Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: home, To: to}}})
-	}
-}
+// detach keeps a coordinator from applying the log; its links stay up.
+func (s *simulation) detach(c *simCoordinator) { c.detached = true }
+
+// attach ends a detachment.
+func (s *simulation) attach(c *simCoordinator) { c.detached = false }
 
 // isolate partitions a coordinator from the log and the other coordinators, at least
 // until both ends of its links detect it: cutLink reports the second disconnection
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -89,6 +89,10 @@
 	applied  int             // number of log entries that it has applied
 	table    *jobtable.Table // state after them
 	isolated bool            // cannot reach the log
+	detached bool            // does not apply the log any more, although its links are up
+
+	hasReadLog bool          // has read the log to its end
+	logReadAt  time.Duration // when its newest read to the end began
 
 	evacuationVersion int // number of evacuation orders that it has applied
 }
