Hand targets over from coordinators that have lost the log

The owner of a target records the ends of stored jobs' runs in the log before it acknowledges them. Owners are assigned by links alone, and this one was outside of the log, so the end was never recorded and the sound home of the job waited for it.

Change: a coordinator that was unfit by its reported reads of the log for 3 s, while another one was fit, is assigned no targets, and hands over those that it has with their next heartbeat. While none is fit all keep their targets, so that a side without a majority still serves jobs that are not stored. The span is above that of an election. New line owners_lost.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/cluster/admission"
+	"hawthornshore.example/jobtable/homes"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -56,6 +57,10 @@
 	// evacuationHeld triggers confirmEvacuationsLoop without waiting for its interval.
 	evacuationHeld chan struct{}
 
+	ownersMu   sync.Mutex
+	owners     *homes.Watch    // of coordinators as owners of targets
+	lostOwners map[string]bool // their names, as logged last
+
 	gateMu sync.Mutex
 	gate   *admission.Gate // of stored jobs
 
@@ -98,6 +103,7 @@
 		directory: map[string]string{options.Name: options.DataCentre},
 		linked:    map[string]peerState{},
 
+		owners:     homes.NewWatch(homes.OwnerLostAfter),
 		gate:       admission.NewGate(),
 		rejectedAt: map[string]time.Time{},
 		confirmNow: make(chan struct{}, 1),
--- a/cluster/homes.go
+++ b/cluster/homes.go
@@ -86,16 +86,16 @@
 
 // knownHomes returns this coordinator and the linked ones as homes of stored jobs.
 func (c *Coordinator) knownHomes() []homes.Coordinator {
-	own := homes.Coordinator{Home: c.options.Placement.Home, ReportsReads: true}
+	own := homes.Coordinator{Name: c.options.Name, Home: c.options.Placement.Home, ReportsReads: true}
 	own.ReadAt, own.HasRead = c.logNode.catchUp.newestRead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own.Draining = c.draining
 	known := []homes.Coordinator{own}
-	for _, state := range c.linked {
+	for name, state := range c.linked {
 		if state.coordinator {
 			known = append(known, homes.Coordinator{
-				Home: state.home, Draining: state.draining,
+				Name: name, Home: state.home, Draining: state.draining,
 				ReportsReads: state.reportsLogReads, HasRead: state.hasReadLog, ReadAt: state.logReadAt,
 			})
 		}
@@ -103,6 +103,25 @@
 	return known
 }
 
+// ownerLost returns the names of the coordinators that must not own targets.
+func (c *Coordinator) ownerLost() map[string]bool {
+	known := c.knownHomes()
+	c.ownersMu.Lock()
+	defer c.ownersMu.Unlock()
+	lost := c.owners.LostOwners(boottimeNow(), known)
+	names := map[string]bool{}
+	for i := range known {
+		if lost[known[i].Home] {
+			names[known[i].Name] = true
+		}
+	}
+	if !maps.Equal(names, c.lostOwners) {
+		c.options.Logger.Warn().Str("event", "owners_lost").Strs("peers", slices.Sorted(maps.Keys(names))).Send()
+		c.lostOwners = names
+	}
+	return names
+}
+
 // moveHome moves the stored jobs of a home to another coordinator.
 func (c *Coordinator) moveHome(ctx context.Context, home string) error {
 	to := rendezvous(home, homes.Candidates(boottimeNow(), c.knownHomes(), home))
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -19,12 +19,17 @@
 
 // assignedOwner returns the coordinator to which rendezvous hashing assigns a
 // target: one of its data centre, or else any one. Only this coordinator and linked
-// ones are considered, so that each side of a partition serves its own targets.
+// ones are considered, so that each side of a partition serves its own targets, and of
+// these none that has lost the log.
 func (c *Coordinator) assignedOwner(target, dataCentre string) string {
+	lost := c.ownerLost()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var local, all []string
 	add := func(name, centre string) {
+		if lost[name] {
+			return
+		}
 		all = append(all, name)
 		if centre == dataCentre {
 			local = append(local, name)
--- a/cluster/ownership_test.go
+++ b/cluster/ownership_test.go
@@ -8,7 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
+	"hawthornshore.example/jobtable/homes"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
 )
@@ -36,6 +38,19 @@
 		Expect(c.assignedOwner("i-1", "z2")).To(Equal("10.1.0.1"))
 	})
 
+	// Guards against runs whose ends are never recorded, because the owner of their target
+	// does not follow the log, although it is linked.
+	It("is none that has lost the log while another one follows it", func() {
+		c := newTestCoordinator("10.1.0.1", "z1")
+		c.owners = homes.NewWatch(0)
+		c.LinkUp(&wire.Hello{Instance: "10.2.0.1", DataCentre: "z2", Voter: true, ReportsLogReads: true})
+		Expect(c.assignedOwner("i-1", "z2")).To(Equal("10.2.0.1"), "none follows the log")
+		c.logNode.catchUp.confirm(boottimeNow())
+		Expect(c.assignedOwner("i-1", "z2")).To(Equal("10.1.0.1"))
+		c.handleHeartbeat("10.2.0.1", &wire.Heartbeat{LogReadAgeMs: proto.Int64(100)})
+		Expect(c.assignedOwner("i-1", "z2")).To(Equal("10.2.0.1"))
+	})
+
 	// Guards against an uneven split between the coordinators of a data centre.
 	It("is spread over the coordinators of a data centre", func() {
 		c := newTestCoordinator("10.1.0.1", "z1")
--- a/jobtable/homes/homes_test.go
+++ b/jobtable/homes/homes_test.go
@@ -71,6 +71,19 @@
 		Expect(lost(14*second, reader("a", 14*second))).To(ConsistOf(homes.Loss{Home: "b"}))
 	})
 
+	// Guards against the ends of runs that an owner outside of the log never records, and
+	// against targets without an owner, or that change it, while there is no leader.
+	It("gives up an owner that does not follow the log, while another one does", func() {
+		watch = homes.NewWatch(homes.OwnerLostAfter)
+		never := homes.Coordinator{Home: "b", ReportsReads: true}
+		Expect(watch.LostOwners(10*second, []homes.Coordinator{reader("a", 10*second), never})).To(BeEmpty())
+		Expect(watch.LostOwners(12*second, []homes.Coordinator{reader("a", 12*second), never})).To(BeEmpty())
+		Expect(watch.LostOwners(13*second, []homes.Coordinator{reader("a", 13*second), never})).To(HaveKey("b"))
+		Expect(watch.LostOwners(20*second, []homes.Coordinator{reader("a", 13*second), never})).To(BeEmpty())
+		Expect(watch.LostOwners(21*second, []homes.Coordinator{reader("a", 21*second), reader("b", 13*second)})).To(BeEmpty())
+		Expect(watch.LostOwners(22*second, []homes.Coordinator{reader("a", 22*second), reader("b", 22*second)})).To(BeEmpty())
+	})
+
 	// Guards against homes that a new leader gives up by what it saw before.
 	It("observes anew after a reset", func() {
 		Expect(lost(10 * second)).To(BeEmpty())
--- a/placement/homes_test.go
+++ b/placement/homes_test.go
@@ -5,11 +5,14 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"hawthornshore.example/jobtable/homes"
 )
 
 var _ = Describe("homes of stored jobs", func() {
 	// Guards against jobs that wait for good at a home whose links are up and that no
-	// longer follows the log, and against runs of both homes at the same time.
+	// longer follows the log, or for the end of a run that the owner of the target can't
+	// record, and against runs of both homes at the same time.
 	It("are given up when they stop following the log", func() {
 		first, count := seedRange()
 		for seed := first; seed < first+count; seed++ {
@@ -19,6 +22,11 @@
 			begin := s.now
 			s.load(40, begin+8*time.Second)
 			s.after(3*time.Second, func() { s.detach(detached) })
+			s.repeat(12, time.Second, func() {
+				if detached.detached && s.now-detached.logReadAt > homes.ReadFreshFor+homes.OwnerLostAfter {
+					s.handOverAll(detached)
+				}
+			})
 			s.run(begin + 25*time.Second)
 			Expect(s.violations).To(BeEmpty(), "seed %d", seed)
 			Expect(s.log.unfinished()).To(BeEmpty(), "seed %d: stored jobs without an end", seed)
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -159,7 +159,7 @@
 	s.after(time.Duration(5+s.random.IntN(20))*time.Millisecond, func() {
 		switch {
 		case c.incarnation != incarnation:
-		case c.isolated || c.paused:
+		case c.isolated || c.paused || c.detached:
 			s.after(proposeRetryDelay, func() {
 				if c.incarnation == incarnation {
 					s.propose(c, command, done)
@@ -252,9 +252,23 @@
 	})
 }
 
-// detach keeps a coordinator from applying the log; its links stay up.
+// detach keeps a coordinator from applying the log and from appending to it; its links
+// stay up.
 func (s *simulation) detach(c *simCoordinator) { c.detached = true }
 
+// handOverAll hands the targets of a coordinator over to the others.
+func (s *simulation) handOverAll(from *simCoordinator) {
+	for i, t := range s.targets {
+		if s.coordinators[t.home] == from {
+			to := s.coordinators[i%len(s.coordinators)]
+			if to == from {
+				to = s.coordinators[(i+1)%len(s.coordinators)]
+			}
+			s.step(from, placement.HandOverRequested{Target: t.runner.Description.ID, Peer: to.name})
+		}
+	}
+}
+
 // attach ends a detachment.
 func (s *simulation) attach(c *simCoordinator) { c.detached = false }
 
