Watch owners of targets at a fixed interval

The watch of coordinators that must not own targets saw their state only when a target's heartbeat arrived. With few targets two separate moments without a read of the log could count as one long one, and move targets without need. Found by reading; no run has shown it. The specs of cluster and of jobtable/homes pass, and so do those of integration/deployment on added coordinators and moved queues.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -150,7 +150,7 @@
 	group.Go(func() error { return c.logNode.publishLoop(ctx) })
 	group.Go(func() error { return c.recorder.run(ctx) })
 	group.Go(func() error { return c.confirmHomeLoop(ctx) })
-	group.Go(func() error { return c.moveHomesLoop(ctx) })
+	group.Go(func() error { return c.watchCoordinatorsLoop(ctx) })
 	group.Go(func() error { return c.confirmEvacuationsLoop(ctx) })
 	return group.Wait()
 }
--- a/cluster/homes.go
+++ b/cluster/homes.go
@@ -58,8 +58,9 @@
 	c.loop.push(placement.LogReadConfirmed{StartedAt: start})
 }
 
-// moveHomesLoop moves the jobs of lost homes while this coordinator is the leader.
-func (c *Coordinator) moveHomesLoop(ctx context.Context) error {
+// watchCoordinatorsLoop moves the jobs of lost homes while this coordinator is the leader,
+// and observes the others as owners of targets at any time.
+func (c *Coordinator) watchCoordinatorsLoop(ctx context.Context) error {
 	ticker := time.NewTicker(homeCheckInterval)
 	defer ticker.Stop()
 	watch := homes.NewWatch(homes.LostAfter)
@@ -69,6 +70,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		c.findLostOwners()
 		if n := c.logNode.node.Load(); n == nil || n.Status().Role != consensus.Leader {
 			watch.Reset()
 			continue
@@ -103,8 +105,8 @@
 	return known
 }
 
-// ownerLost returns the names of the coordinators that must not own targets.
-func (c *Coordinator) ownerLost() map[string]bool {
+// findLostOwners returns the names of the coordinators that must not own targets.
+func (c *Coordinator) findLostOwners() map[string]bool {
 	known := c.knownHomes()
 	c.ownersMu.Lock()
 	defer c.ownersMu.Unlock()
--- a/cluster/ownership.go
+++ b/cluster/ownership.go
@@ -22,7 +22,7 @@
 // ones are considered, so that each side of a partition serves its own targets, and of
 // these none that has lost the log.
 func (c *Coordinator) assignedOwner(target, dataCentre string) string {
-	lost := c.ownerLost()
+	lost := c.findLostOwners()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var local, all []string
--- a/jobtable/homes/homes.go
+++ b/jobtable/homes/homes.go
@@ -67,7 +67,8 @@
 	ReadAge time.Duration // of its newest read, if it is linked; 0: it has read nothing
 }
 
-// Watch tells the leader of the log which homes have been unfit for too long.
+// Watch tells which homes, or owners, have been unfit for too long. It sees the state at
+// each call only, so it has to be called several times within lostAfter.
 type Watch struct {
 	lostAfter  time.Duration
 	unfitSince map[string]time.Duration
