Retry the move of stored jobs while a coordinator drains

A coordinator that drains moves its stored jobs once. Since only coordinators with a fresh read of the log take jobs, there may be none at that moment, such as right after the restart of the others; the jobs then held up the drain until the end of the grace period and moved 1.5 s after it. Found by reading; no run has shown it. integration/deployment, "a coordinator that is added while the others are split" with its restarts in turn: passes.

--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -189,26 +189,37 @@
 	c.mu.Lock()
 	c.draining = true
 	c.mu.Unlock()
-	if c.logNode.store.openJobs(c.options.Placement.Home) > 0 {
-		if err := c.moveHome(ctx, c.options.Placement.Home); err != nil {
-			c.options.Logger.Warn().Str("event", "home_not_moved").Str("home", c.options.Placement.Home).Err(err).Send()
-		}
-	}
+	c.moveOwnJobs(ctx)
 	if err := c.logNode.transferLeadership(ctx); err != nil {
 		c.options.Logger.Warn().Str("event", "resign_failed").Err(err).Send()
 	}
 	c.loop.push(placement.Drain{})
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
+	retry := time.NewTicker(homeCheckInterval)
+	defer retry.Stop()
 	for !c.loop.idle() {
 		select {
 		case <-ticker.C:
+		case <-retry.C:
+			c.moveOwnJobs(ctx) // no other coordinator may have been fit before
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// moveOwnJobs moves the stored jobs of this coordinator to another one.
+func (c *Coordinator) moveOwnJobs(ctx context.Context) {
+	home := c.options.Placement.Home
+	if c.logNode.store.openJobs(home) == 0 {
+		return
+	}
+	if err := c.moveHome(ctx, home); err != nil {
+		c.options.Logger.Warn().Str("event", "home_not_moved").Str("home", home).Err(err).Send()
+	}
+}
+
 // drainPollInterval is how often Drain checks whether the core is idle.
 const drainPollInterval = 50 * time.Millisecond
 
