--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -61,6 +62,7 @@
 	Targets      int
 	OtherTargets int  // of OtherService, after the others
 	Spares       int  // coordinators that AddCoordinator starts later
+	Absent       int  // coordinator, counted from 1, that is not started with the others; 0: none
 	ProxyLinks   bool // puts a proxy into each link between two processes; see Split
 	MemoryMB     int  // of each machine, 0: the stand-in's default
 	MaxFDs       int  // of each machine, 0: not in the settings
@@ -107,6 +109,9 @@
 		if err := p.writeSettings(true); err != nil {
 			return nil, err
 		}
+		if options.Absent > 0 && p == d.Coordinators[options.Absent-1] {
+			continue
+		}
 		if err := p.Start(); err != nil {
 			return nil, err
 		}
@@ -188,7 +193,9 @@
 // Close kills all running processes and closes the proxies.
 func (d *Deployment) Close() {
 	for _, p := range append(d.Gateways, d.Coordinators...) {
-		p.currentProcess().KillIfRunning()
+		if current := p.currentProcess(); current != nil {
+			current.KillIfRunning()
+		}
 	}
 	for _, proxy := range slices.Concat(d.TargetProxies, slices.Collect(maps.Values(d.links))) {
 		_ = proxy.Close() // the processes have closed its connections
@@ -200,6 +207,9 @@
 	var found strings.Builder
 	for _, p := range append(d.Gateways, d.Coordinators...) {
 		data, err := os.ReadFile(p.log)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // not started yet
+		}
 		if err != nil {
 			fmt.Fprintf(&found, "%s: %v\n", p.Machine.IP, err)
 			continue
--- a/placement/simdocument_test.go
+++ b/placement/simdocument_test.go
@@ -129,5 +129,8 @@
 			s.isolate(s.randomCoordinator(), time.Second+s.randomTime(4*time.Second))
 		}),
 		Entry("while callers return elsewhere", callersReturn(10*time.Millisecond)),
+		Entry("while callers are reset and return elsewhere at once", func(s *simulation) {
+			s.repeat(25, 300*time.Millisecond, func() { s.resetCallers(0.45) })
+		}),
 	)
 })
--- a/placement/simnetwork_test.go
+++ b/placement/simnetwork_test.go
@@ -140,6 +140,28 @@
 	}
 }
 
+// resetCallers lets callers send their jobs again through other coordinators at once: the
+// gateway hands a request on before it notices that its caller is gone.
+func (s *simulation) resetCallers(share float64) {
+	for _, c := range s.coordinators {
+		for _, caller := range s.callersOf(c) {
+			if s.random.Float64() >= share {
+				continue
+			}
+			id := s.unanswered[caller]
+			delete(s.unanswered, caller)
+			s.answers[caller] = 1 - 1<<30 // a late answer is ignored
+			incarnation := c.incarnation
+			s.after(s.randomTime(10*time.Millisecond), func() {
+				if c.incarnation == incarnation {
+					s.step(c, placement.Withdraw{Caller: caller})
+				}
+			})
+			s.after(s.randomTime(10*time.Millisecond), func() { s.submit(s.jobs[id]) })
+		}
+	}
+}
+
 // cutLinkOneWay cuts one direction of a link, and the other one within the link
 // timeout. Each end detects it by its own silence, or by the other end's close.
 func (s *simulation) cutLinkOneWay(a, b *simCoordinator, length time.Duration) {
