Share the loss of callers between two schedules

resetCallers repeated breakCallers but for the return of the callers. Both use loseCallers now; breakCallers draws its random numbers in the same order as before.

--- a/placement/simnetwork_test.go
+++ b/placement/simnetwork_test.go
@@ -121,6 +121,12 @@
 // breakCallers breaks the connections of some callers. Their gateway withdraws the
 // jobs within a delay, and they submit the same jobs again to any coordinator.
 func (s *simulation) breakCallers(share float64, delay time.Duration) {
+	s.loseCallers(share, delay, s.resubmit)
+}
+
+// loseCallers breaks connections of callers, which come back with their jobs. Their homes
+// are told of the loss within a delay.
+func (s *simulation) loseCallers(share float64, delay time.Duration, comeBack func(id string)) {
 	for _, c := range s.coordinators {
 		for _, caller := range s.callersOf(c) {
 			if s.random.Float64() >= share {
@@ -129,7 +135,7 @@
 			id := s.unanswered[caller]
 			delete(s.unanswered, caller)
 			s.answers[caller] = 1 - 1<<30 // a late answer is ignored
-			s.resubmit(id)
+			comeBack(id)
 			incarnation := c.incarnation
 			s.after(s.randomTime(delay), func() {
 				if c.incarnation == incarnation {
@@ -143,23 +149,10 @@
 // resetCallers lets callers send their jobs again through other coordinators at once: the
 // gateway hands a request on before it notices that its caller is gone.
 func (s *simulation) resetCallers(share float64) {
-	for _, c := range s.coordinators {
-		for _, caller := range s.callersOf(c) {
-			if s.random.Float64() >= share {
-				continue
-			}
-			id := s.unanswered[caller]
-			delete(s.unanswered, caller)
-			s.answers[caller] = 1 - 1<<30 // a late answer is ignored
-			incarnation := c.incarnation
-			s.after(s.randomTime(10*time.Millisecond), func() {
-				if c.incarnation == incarnation {
-					s.step(c, placement.Withdraw{Caller: caller})
-				}
-			})
-			s.after(s.randomTime(10*time.Millisecond), func() { s.submit(s.jobs[id]) })
-		}
-	}
+	const notice = 10 * time.Millisecond
+	s.loseCallers(share, notice, func(id string) {
+		s.after(s.randomTime(notice), func() { s.submit(s.jobs[id]) })
+	})
 }
 
 // cutLinkOneWay cuts one direction of a link, and the other one within the link
