--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -23,7 +23,7 @@
 	s := &wire.Submission{
 		Ref: ref, JobId: j.ID, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Priority: int32(j.Priority), MaxAttempts: int32(j.MaxAttempts), Stretch: j.Stretch,
-		ObjectiveMs: ms(j.Allowance), BudgetMs: ms(j.Budget), Stored: j.Stored,
+		ObjectiveMs: ms(j.Allowance), BudgetMs: ms(j.Budget), Stored: j.Stored, DocumentVersion: j.DocumentVersion,
 	}
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -44,6 +44,7 @@
 		ID: s.GetJobId(), Queue: s.GetQueue(), Service: s.GetService(), Spec: s.GetSpec(),
 		Priority: int(s.GetPriority()), MaxAttempts: int(s.GetMaxAttempts()), Stretch: s.GetStretch(),
 		Allowance: fromMS(s.GetObjectiveMs()), Budget: fromMS(s.GetBudgetMs()), Stored: s.GetStored(),
+		DocumentVersion: s.GetDocumentVersion(),
 	}
 	for _, w := range s.GetSteps() {
 		step := placement.Step{
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hawthornshore.example/cluster/admission"
+	"hawthornshore.example/jobtable"
 	"hawthornshore.example/jobtable/homes"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
@@ -60,6 +62,11 @@
 	ownersMu   sync.Mutex
 	owners     *homes.Watch    // of coordinators as owners of targets
 	lostOwners map[string]bool // their names, as logged last
+	// queues is the newest document for the placement core, until its loop takes it.
+	queues atomic.Pointer[placement.QueuesChanged]
+
+	decodedMu sync.Mutex
+	decoded   *Deployment // newest document that was decoded
 
 	gateMu sync.Mutex
 	gate   *admission.Gate // of stored jobs
@@ -116,7 +123,7 @@
 	c.options.Placement.Home = homeName(hello)
 	c.options.Placement.FirstRef = firstRef()
 	c.logNode = &logNode{
-		coordinator: c, store: newStateStore(options.JobRetention), progress: newLogProgress(), applied: make(chan struct{}, 1),
+		coordinator: c, store: newStateStore(options.JobRetention, c.storedQueues), progress: newLogProgress(), applied: make(chan struct{}, 1),
 	}
 	c.evacuations = newEvacuations(options.Evacuation, c.logNode.store, boottimeNow())
 	c.logNode.catchUp.read = c.logNode.readBarrier
@@ -261,7 +268,7 @@
 	if document.Version <= c.Document().Version {
 		return
 	}
-	deployment, err := c.options.Decode(document.Body)
+	deployment, err := c.decode(document)
 	if err == nil {
 		err = c.documents.set(&document)
 	}
@@ -276,6 +283,8 @@
 	}
 	c.document, c.services, c.limits = document, deployment.Services, deployment.Limits
 	c.mu.Unlock()
+	c.queues.Store(deployment.placementQueues())
+	c.loop.push(placement.Tick{}) // wakes the loop, which passes the queues to the core
 	delay := c.logNode.store.documentSyncDelay()
 	observeDocument(document.Version, delay)
 	c.options.Logger.Info().Str("event", "document_adopted").Uint64("version", document.Version).
@@ -283,6 +292,31 @@
 	c.documents.announce(document.Version)
 }
 
+// decode returns a document in decoded form; the result must not be modified.
+func (c *Coordinator) decode(document Document) (*Deployment, error) {
+	c.decodedMu.Lock()
+	defer c.decodedMu.Unlock()
+	if c.decoded != nil && c.decoded.Version == document.Version {
+		return c.decoded, nil
+	}
+	deployment, err := c.options.Decode(document.Body)
+	if err != nil {
+		return nil, errors.Annotatef(err, "decode document %d", document.Version)
+	}
+	c.decoded = deployment
+	return deployment, nil
+}
+
+// storedQueues returns the queues of a document for the table of stored jobs.
+func (c *Coordinator) storedQueues(document Document) (jobtable.Queues, bool) {
+	deployment, err := c.decode(document)
+	if err != nil {
+		c.options.Logger.Error().Str("event", "document_unreadable").Uint64("version", document.Version).Err(err).Send()
+		return jobtable.Queues{}, false
+	}
+	return deployment.storedQueues(), true
+}
+
 // send queues a one-way message and reports whether it was queued. The message is
 // lost if the link fails (see LinkDown) or its send queue is full.
 func (c *Coordinator) send(peer string, message *wire.Envelope) bool {
--- a/cluster/deployment.go
+++ b/cluster/deployment.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"hawthornshore.example/jobtable"
 	"hawthornshore.example/placement"
 )
 
@@ -64,9 +66,49 @@
 }
 
 // Apply sets the fields of a job that its queue determines.
-func (q *Queue) Apply(job *placement.Job) {
+func (d *Deployment) Apply(q *Queue, job *placement.Job) {
 	job.Queue, job.Service, job.Priority = q.Name, q.Service, q.Priority
 	job.MaxAttempts, job.Stretch, job.Allowance = q.MaxAttempts, q.Stretch, q.Allowance
+	job.DocumentVersion = d.Version
+}
+
+// queuesByName returns the queues by name. It leaves out names that queues of different
+// services share, because they don't tell which service an accepted job is for.
+func (d *Deployment) queuesByName() map[string]*Queue {
+	queues := make(map[string]*Queue, len(d.Queues))
+	for i := range d.Queues {
+		q := &d.Queues[i]
+		switch other, found := queues[q.Name]; {
+		case !found:
+			queues[q.Name] = q
+		case other == nil || other.Service != q.Service:
+			queues[q.Name] = nil
+		}
+	}
+	maps.DeleteFunc(queues, func(_ string, q *Queue) bool { return q == nil })
+	return queues
+}
+
+// storedQueues describes the queues to the table of stored jobs.
+func (d *Deployment) storedQueues() jobtable.Queues {
+	queues := jobtable.Queues{Version: d.Version, ByName: map[string]jobtable.Queue{}}
+	for name, q := range d.queuesByName() {
+		queues.ByName[name] = jobtable.Queue{
+			Service: q.Service, Priority: int32(q.Priority), Stretch: q.Stretch, AllowanceMS: ms(q.Allowance),
+		}
+	}
+	return queues
+}
+
+// placementQueues describes the queues and services to the placement core.
+func (d *Deployment) placementQueues() *placement.QueuesChanged {
+	change := &placement.QueuesChanged{Version: d.Version, Queues: map[string]placement.Queue{}, Services: d.Services}
+	for name, q := range d.queuesByName() {
+		change.Queues[name] = placement.Queue{
+			Service: q.Service, Priority: q.Priority, Stretch: q.Stretch, Allowance: q.Allowance,
+		}
+	}
+	return change
 }
 
 // JobRequest is a job with the caller's options that placement does not cover.
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -101,6 +101,9 @@
 		}
 		last = now
 		l.stepEvacuations(now) // before the events, which may lead to starts
+		if queues := l.coordinator.queues.Swap(nil); queues != nil {
+			l.core.Step(now, *queues)
+		}
 		for _, event := range events {
 			l.step(now, event)
 		}
--- a/cluster/metrics.go
+++ b/cluster/metrics.go
@@ -56,20 +56,22 @@
 
 // statusGauges publish the newest status of the core.
 type statusGauges struct {
-	jobs, queued, targets, usable, runs, freeMillis *metrics.Gauge
+	jobs, queued, unserved, targets, usable, runs, freeMillis *metrics.Gauge
 }
 
 func newStatusGauges() statusGauges {
 	gauge := func(name string) *metrics.Gauge { return metrics.GetOrCreateGauge(name, nil) }
 	return statusGauges{
 		jobs: gauge("hawthorn_placement_jobs"), queued: gauge("hawthorn_placement_queued_jobs"), targets: gauge("hawthorn_placement_targets"),
-		usable: gauge("hawthorn_placement_usable_targets"), runs: gauge("hawthorn_placement_runs"), freeMillis: gauge("hawthorn_placement_free_cpu_millis"),
+		unserved: gauge("hawthorn_placement_unserved_jobs"),
+		usable:   gauge("hawthorn_placement_usable_targets"), runs: gauge("hawthorn_placement_runs"), freeMillis: gauge("hawthorn_placement_free_cpu_millis"),
 	}
 }
 
 func (g *statusGauges) set(s *placement.Status) {
 	g.jobs.Set(float64(s.Jobs))
 	g.queued.Set(float64(s.Queued))
+	g.unserved.Set(float64(s.Unserved))
 	g.targets.Set(float64(s.Targets))
 	g.usable.Set(float64(s.Usable))
 	g.runs.Set(float64(s.Runs))
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 type stateStore struct {
 	mu       sync.RWMutex
 	document Document
+	// queuesOf returns the queues of a document, or false if it cannot be decoded.
+	queuesOf func(Document) (jobtable.Queues, bool)
 	// synced is the newest document that this coordinator still has after a restart
 	// without a leader. Newer ones wait in unsynced, so that no effect of a document
 	// is seen before and not after a restart.
@@ -44,8 +47,8 @@
 }
 
 // newStateStore returns an empty state with a retention time for ended jobs.
-func newStateStore(retention time.Duration) *stateStore {
-	return &stateStore{jobs: jobtable.New(retention), changed: map[string]bool{}}
+func newStateStore(retention time.Duration, queuesOf func(Document) (jobtable.Queues, bool)) *stateStore {
+	return &stateStore{jobs: jobtable.New(retention), changed: map[string]bool{}, queuesOf: queuesOf}
 }
 
 // currentDocument returns the document; its body must not be modified.
@@ -204,6 +207,9 @@
 		s.document = Document{Version: d.GetVersion(), Body: d.GetBody()}
 		s.unsynced = append(s.unsynced, indexedDocument{index: entry.Index, appliedAt: boottimeNow(), Document: s.document})
 	}
+	if s.jobs.HasOpenJobs() || s.acceptsUnderEarlierDocument(command.GetJobs()) {
+		s.followDocument()
+	}
 	answer := &wire.LogAnswer{DocumentVersion: s.document.Version}
 	if len(command.GetJobs()) > 0 {
 		verdicts, changed := s.jobs.Apply(command.GetClockUnixMs(), command.GetJobs())
@@ -220,6 +226,31 @@
 	return proto.Marshal(answer)
 }
 
+// acceptsUnderEarlierDocument reports whether a job is accepted with the fields of a queue
+// in an earlier document than the one in the log.
+func (s *stateStore) acceptsUnderEarlierDocument(commands []*wire.JobCommand) bool {
+	return slices.ContainsFunc(commands, func(command *wire.JobCommand) bool {
+		job := command.GetAccept().GetJob()
+		return job != nil && job.GetDocumentVersion() < s.document.Version
+	})
+}
+
+// followDocument lets the stored jobs follow the document of the log. The document is
+// decoded only while there are jobs; the result is the same on all coordinators, because
+// it depends on the log alone. The caller holds the lock.
+func (s *stateStore) followDocument() {
+	if s.jobs.QueuesVersion() >= s.document.Version {
+		return
+	}
+	queues, ok := s.queuesOf(s.document)
+	if !ok {
+		return
+	}
+	for _, j := range s.jobs.SetQueues(queues) {
+		s.changed[j.ID] = true
+	}
+}
+
 // Snapshot returns the encoded state.
 func (s *stateStore) Snapshot() ([]byte, error) {
 	s.mu.RLock()
@@ -248,5 +279,11 @@
 	for _, record := range state.GetCancelled() {
 		s.cancelled = append(s.cancelled, record.GetJobId())
 	}
-	return errors.Annotate(s.jobs.Restore(&state), "restore jobs")
+	if err := s.jobs.Restore(&state); err != nil {
+		return errors.Annotate(err, "restore jobs")
+	}
+	if s.jobs.HasOpenJobs() { // an earlier version leaves the jobs of a snapshot as they were accepted
+		s.followDocument()
+	}
+	return nil
 }
--- a/integration/deployment/calls.go
+++ b/integration/deployment/calls.go
@@ -67,6 +67,13 @@
 	return nil
 }
 
+// MoveQueues sends a document in which all queues have the other service of the two, and
+// the one that they had is gone.
+func (d *Deployment) MoveQueues(ctx context.Context, coordinator *Process) error {
+	d.client.Service = map[string]string{service: OtherService, OtherService: service}[d.client.Service]
+	return d.ReplaceDocument(ctx, coordinator)
+}
+
 // DocumentVersion returns the version of the document at a coordinator.
 func (d *Deployment) DocumentVersion(ctx context.Context, coordinator *Process) (uint64, error) {
 	return d.client.Version(ctx, coordinator.Machine.IP)
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -23,6 +23,8 @@
 	queueHost   = "desk.example"
 	queuePrefix = "/work/"
 	service     = "desk"
+	// OtherService is a service that the document has only after MoveQueues.
+	OtherService = "desk-2"
 	// GracePeriod is the time between SIGTERM and SIGKILL.
 	GracePeriod = 6 * time.Second
 )
@@ -57,6 +59,7 @@
 	Gateways     int
 	Coordinators int
 	Targets      int
+	OtherTargets int  // of OtherService, after the others
 	Spares       int  // coordinators that AddCoordinator starts later
 	ProxyLinks   bool // puts a proxy into each link between two processes; see Split
 	MemoryMB     int  // of each machine, 0: the stand-in's default
@@ -108,7 +111,7 @@
 			return nil, err
 		}
 	}
-	return d, d.startTargets(ctx, options.Targets)
+	return d, d.startTargets(ctx, options.Targets, options.OtherTargets)
 }
 
 // zones are the data centres in the settings. The last one has no targets.
@@ -116,14 +119,18 @@
 
 func address(network, host int) string { return fmt.Sprintf("127.77.%d.%d", network, host) }
 
-func (d *Deployment) startTargets(ctx context.Context, count int) error {
+func (d *Deployment) startTargets(ctx context.Context, count, others int) error {
 	var control []string
 	for _, p := range d.Coordinators {
 		control = append(control, controlAddress(p))
 	}
-	for i := range count {
+	for i := range count + others {
+		targetService := service
+		if i >= count {
+			targetService = OtherService
+		}
 		target, err := standin.StartTarget(ctx, standin.TargetOptions{
-			ID: fmt.Sprintf("i-%04d", i), Service: service, DataCentre: targetDataCentre(i),
+			ID: fmt.Sprintf("i-%04d", i), Service: targetService, DataCentre: targetDataCentre(i),
 			Rack: fmt.Sprintf("r%d", i/4), Capacity: TargetCapacity,
 			Control: control, Epoch: d.epoch, Advertise: d.advertise, Deadly: d.isDeadly,
 			Runner: emulator.RunnerOptions{
--- a/jobtable/table.go
+++ b/jobtable/table.go
@@ -53,6 +53,7 @@
 	ended     []*Job          // by time of end
 	clockMS   int64           // highest Unix time of a proposer
 	cancelled []CancelledJob  // jobs that are not stored, by time
+	queues    Queues          // that the jobs follow
 }
 
 // New returns an empty table that removes ended jobs after the retention time.
@@ -147,6 +148,7 @@
 		j.Tasks = append(j.Tasks, make([]Task, step.GetCount()))
 		j.remaining += int(step.GetCount())
 	}
+	t.followQueue(j)
 	t.jobs[id] = j
 	t.countHome(j.Home, 1)
 	return verdictTaken, []*Job{j}
@@ -292,9 +294,11 @@
 	return stored
 }
 
-// Restore replaces the contents of the table by those of a state.
+// Restore replaces the contents of the table by those of a state. The jobs follow no
+// document until the next SetQueues.
 func (t *Table) Restore(state *wire.CoordinatorState) error {
 	t.jobs, t.homes, t.ended, t.clockMS = map[string]*Job{}, map[string]int{}, nil, state.GetClockUnixMs()
+	t.queues = Queues{}
 	t.restoreCancelled(state)
 	for _, stored := range state.GetJobs() {
 		j := &Job{
--- a/placement/core.go
+++ b/placement/core.go
@@ -51,6 +51,9 @@
 	draining    bool
 	evacuations evacuations
 
+	document QueuesChanged // newest; version 0 before the first
+	unserved int           // stored jobs whose service has no usable target
+
 	logConfirmed    bool          // the log has been read to its end
 	logConfirmedAt  time.Duration // a time before the last such read
 	storedSuspended bool          // the runs of stored jobs have been stopped since
@@ -155,6 +158,8 @@
 		c.handOverRequested(e)
 	case EvacuationsChanged:
 		c.evacuationsChanged(e)
+	case QueuesChanged:
+		c.queuesChanged(e)
 	case Drain:
 		c.drain()
 	}
@@ -268,11 +273,12 @@
 	FreeCPUMillis      int64 // on usable targets
 	Peers, PeerTargets int
 	PeerFreeCPUMillis  int64
+	Unserved           int // stored jobs whose service has no usable target
 }
 
 // Status returns a summary of the core.
 func (c *Core) Status() Status {
-	s := Status{Jobs: len(c.jobs), Queued: len(c.queue), Targets: len(c.targets), Peers: len(c.peers)}
+	s := Status{Jobs: len(c.jobs), Queued: len(c.queue), Targets: len(c.targets), Peers: len(c.peers), Unserved: c.unserved}
 	for _, t := range c.targets {
 		s.Runs += len(t.runs)
 		if t.usable(c.now) {
@@ -312,6 +318,7 @@
 	c.checkCrashes()
 	c.evaluateSpeeds()
 	c.updateScarce()
+	c.checkUnserved()
 	c.scheduleDue = true
 	if c.draining {
 		c.handOverTargets()
--- a/placement/home.go
+++ b/placement/home.go
@@ -38,6 +38,9 @@
 
 	aliveUntil time.Duration // lost runs may be alive until then
 
+	unservedSince    time.Duration // since then its service has had no usable target; 0: it has one
+	unservedReported bool
+
 	storedSuccessor *StoredJobChanged // a stored job with the same ID, adopted after the end
 }
 
@@ -90,6 +93,7 @@
 	}
 	j := newJob(&e.Job, c.now)
 	j.caller = e.Caller
+	c.followDocument(j)
 	c.jobs[j.ID] = j
 	c.callers[j.caller] = j
 	c.enqueue(j)
--- a/placement/simcrashes_test.go
+++ b/placement/simcrashes_test.go
@@ -98,6 +98,7 @@
 		OnStart: func(now time.Duration, task string) {
 			s.log.OnStart(now, task)
 			s.evacuations.started(s, t, task)
+			s.documents.started(s, t, task)
 			s.crashes.started(task)
 		},
 	})
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -104,6 +104,7 @@
 	case !j.Stored:
 		j.storedSuccessor = &e // a job that is not stored has this ID
 	case homeHere && j.epoch == e.Epoch:
+		c.applyQueue(j, e.Job.queue(), e.Job.DocumentVersion)
 		c.updateJob(j, e.Tasks)
 	case homeHere:
 		c.releaseJob(j, &e)
--- a/placement/types.go
+++ b/placement/types.go
@@ -58,6 +58,9 @@
 	Budget      time.Duration // how long the caller waits; 0: unknown
 	Stored      bool          // kept in the log; outlives its caller and its home
 	Steps       []Step
+	// DocumentVersion is the version of the operators' document that Service, Priority,
+	// Stretch and Allowance are from.
+	DocumentVersion uint64
 }
 
 // criticalPath returns the estimated length of the longest chain of tasks.
