placement: log refused placements as an event of their own

Cause: hawthorn_placement_decisions_total{event="run_ended"} counted placements that a target's owner had refused together with runs that failed, were stopped or were lost. Change: a refused placement writes and counts placement_refused. No decision changes.

--- a/placement/home.go
+++ b/placement/home.go
@@ -330,8 +330,12 @@
 		c.noteRemoteDone(t, &report)
 	}
 	if report.Kind != RunDone {
+		event := "run_ended"
+		if report.Kind == RunRejected {
+			event = "placement_refused"
+		}
 		c.logDecision(Decision{
-			Event: "run_ended", Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
+			Event: event, Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
 			Reason: report.Kind.String() + " " + report.Reason, Age: c.now - j.submittedAt, Value: int64(t.runs),
 			SafeAfter: report.SafeAfter,
 		})
