placement: let the owner of a target check the limit of a step, and keep the chosen target

Cause: a home chooses a target of another coordinator by its own count of the step's tasks. If the target was filled since, its owner started the task on any other target with room, without knowing the limit. Even with the limit in the message the home's count lags: it counts by the target that it has chosen, and sees neither runs that are being stopped nor those of an earlier home. Change: the owner checks each condition at the start, the limit by the names of all runs on the target, and uses the chosen target or none; a run that has to be alone still gets any idle target. Why it works: only the owner sees all runs on a target, and every start passes its check.

--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -73,7 +73,7 @@
 			Ref: p.Ref, Task: p.Task, Run: int32(p.Run), Queue: p.Queue, Service: p.Service, Spec: p.Spec,
 			Need: resourcesToWire(p.Need), ExpectedMs: ms(p.Expected), Requirement: p.Requirement,
 			Rack: p.Rack, Target: p.Target, Avoid: p.Avoid, Stored: p.Stored,
-			Alone: p.Alone, Suspect: p.Suspect,
+			Alone: p.Alone, Suspect: p.Suspect, PerTarget: int32(p.PerTarget),
 		})
 	}
 	return request
@@ -86,7 +86,7 @@
 			Ref: p.GetRef(), Task: p.GetTask(), Run: int(p.GetRun()), Queue: p.GetQueue(), Service: p.GetService(),
 			Spec: p.GetSpec(), Need: resourcesFromWire(p.GetNeed()), Expected: fromMS(p.GetExpectedMs()),
 			Requirement: p.GetRequirement(), Rack: p.GetRack(), Target: p.GetTarget(), Avoid: p.GetAvoid(), Stored: p.GetStored(),
-			Alone: p.GetAlone(), Suspect: p.GetSuspect(),
+			Alone: p.GetAlone(), Suspect: p.GetSuspect(), PerTarget: int(p.GetPerTarget()),
 		})
 	}
 	return placements
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -119,7 +119,7 @@
 		evacuationHeld: make(chan struct{}, 1),
 	}
 	hello := newHello(options.Name, options.DataCentre)
-	hello.Voter, hello.ReportsLogReads = true, true
+	hello.Voter, hello.ReportsLogReads, hello.ChecksStepLimits = true, true, true
 	c.options.Placement.Home = homeName(hello)
 	c.options.Placement.FirstRef = firstRef()
 	c.logNode = &logNode{
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -147,7 +147,7 @@
 	c.options.Logger.Info().Str("event", "link_up").Str("peer", name).Str("data_centre", hello.GetDataCentre()).Send()
 	c.sendDirectory(name)
 	if hello.GetVoter() {
-		c.loop.push(placement.PeerConnected{Peer: name})
+		c.loop.push(placement.PeerConnected{Peer: name, ChecksStepLimits: hello.GetChecksStepLimits()})
 	}
 }
 
--- a/placement/core.go
+++ b/placement/core.go
@@ -44,6 +44,9 @@
 
 	peers  map[string]*peer // that have sent their available targets
 	linked map[string]bool
+	// checksStepLimits has the coordinators that check Placement.PerTarget, by their last
+	// links; those of an earlier version do not.
+	checksStepLimits map[string]bool
 	// peerHeardAt is the time of the last message of each linked coordinator.
 	peerHeardAt map[string]time.Duration
 	reports     map[string][]queuedReport // by peer
@@ -79,24 +82,25 @@
 	hash := fnv.New32a()
 	hash.Write([]byte(options.Name))
 	return &Core{
-		options:       options,
-		targets:       map[string]*target{},
-		drainingBoots: map[string]int64{},
-		tokenOffset:   uint64(hash.Sum32() % (1 << tokenShift)),
-		orders:        map[uint64]*order{},
-		fences:        map[string]*fence{},
-		jobs:          map[string]*job{},
-		callers:       map[Caller]*job{},
-		reserved:      map[string]bool{},
-		placements:    map[uint64]*task{},
-		peers:         map[string]*peer{},
-		linked:        map[string]bool{},
-		peerHeardAt:   map[string]time.Duration{},
-		reports:       map[string][]queuedReport{},
-		handOvers:     map[string][]sentHandOver{},
-		remembered:    map[string]rememberedLosses{},
-		cancelled:     cancelledIDs{at: map[string]time.Duration{}},
-		costOrder:     newCostOrder(options.QueueOrder),
+		options:          options,
+		targets:          map[string]*target{},
+		drainingBoots:    map[string]int64{},
+		tokenOffset:      uint64(hash.Sum32() % (1 << tokenShift)),
+		orders:           map[uint64]*order{},
+		fences:           map[string]*fence{},
+		jobs:             map[string]*job{},
+		callers:          map[Caller]*job{},
+		reserved:         map[string]bool{},
+		placements:       map[uint64]*task{},
+		peers:            map[string]*peer{},
+		linked:           map[string]bool{},
+		checksStepLimits: map[string]bool{},
+		peerHeardAt:      map[string]time.Duration{},
+		reports:          map[string][]queuedReport{},
+		handOvers:        map[string][]sentHandOver{},
+		remembered:       map[string]rememberedLosses{},
+		cancelled:        cancelledIDs{at: map[string]time.Duration{}},
+		costOrder:        newCostOrder(options.QueueOrder),
 	}
 }
 
@@ -132,7 +136,7 @@
 	case PeerAvailability:
 		c.peerAvailability(e)
 	case PeerConnected:
-		c.linked[e.Peer] = true
+		c.linked[e.Peer], c.checksStepLimits[e.Peer] = true, e.ChecksStepLimits
 		c.availabilityChanged()
 	case PeerDisconnected:
 		c.peerDisconnected(e.Peer)
--- a/placement/evacuation.go
+++ b/placement/evacuation.go
@@ -89,18 +89,6 @@
 	return "data centre " + t.DataCentre + " is evacuated"
 }
 
-// rejectionReason returns why a placement of another home is not started, and logs
-// that it is withheld if its target is evacuated.
-func (c *Core) rejectionReason(p *Placement) string {
-	t := c.targets[p.Target]
-	if t == nil || !t.evacuated {
-		return "no room"
-	}
-	reason := c.evacuationReason(t)
-	c.logDecision(Decision{Event: "start_withheld", Task: p.Task, Target: t.ID, Reason: reason, Value: int64(p.Run)})
-	return reason
-}
-
 // refuseEvacuated refuses the jobs that wait for their first start and that no target
 // outside the evacuated data centres can serve. A coordinator that has lost all others
 // does not know their targets, and refuses jobs as without evacuations.
--- a/placement/events.go
+++ b/placement/events.go
@@ -53,7 +53,12 @@
 
 // PeerConnected reports a new link to another coordinator, which has not
 // received the available targets here.
-type PeerConnected struct{ Peer string }
+type PeerConnected struct {
+	Peer string
+	// ChecksStepLimits is set if the peer checks Placement.PerTarget; earlier versions
+	// ignore it.
+	ChecksStepLimits bool
+}
 
 // PeerDisconnected reports that the link to another coordinator has failed.
 type PeerDisconnected struct{ Peer string }
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -120,14 +120,14 @@
 func (c *Core) placementsRequested(e PlacementsRequested) {
 	for i := range e.Placements {
 		p := &e.Placements[i]
-		t := c.targetFor(p)
+		t, refusal := c.targetFor(p)
 		if t == nil || t.ID != p.Target {
 			// The home has taken the task's need off the target that it has chosen.
 			c.emit(AvailabilityCorrected{Target: p.Target})
 			c.availabilityDirty = true
 		}
 		if t == nil {
-			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: c.rejectionReason(p)})
+			c.queueReport(e.Peer, Report{Ref: p.Ref, Kind: RunRejected, Target: p.Target, Reason: refusal})
 			continue
 		}
 		c.startRun(t, &run{
@@ -138,31 +138,51 @@
 	}
 }
 
-// targetFor returns the target for another home's task: the one it has chosen, or
-// the one with the least free CPU time that is on the rack of the data.
-func (c *Core) targetFor(p *Placement) *target {
+// targetFor returns the target for another home's task, or why there is none. Only the
+// owner sees all runs on a target, those of earlier homes and those that are being
+// stopped among them, so it checks each condition of the task there. It uses the target
+// that the home has chosen or none. A run that has to be alone may get any idle target:
+// no condition on other runs can fail there.
+func (c *Core) targetFor(p *Placement) (*target, string) {
 	if c.draining {
-		return nil
+		return nil, "coordinator is leaving"
 	}
 	if p.Alone {
-		return c.idleTarget(p)
-	}
-	var best *target
-	for _, id := range sortedKeys(c.targets) {
-		t := c.targets[id]
-		if t.Service != p.Service || !matches(t.Labels, p.Requirement) || !p.Need.Fits(t.free()) ||
-			!t.usable(c.now) || id == p.Avoid && id != p.Target || p.Suspect && t.hasSuspect() ||
-			t.runs[runKey{p.Task, p.Run}] != nil {
-			continue
-		}
-		if id == p.Target {
-			return t
-		}
-		if onRack(t.Labels, p.Rack) && (best == nil || t.free().CPUMillis < best.free().CPUMillis) {
-			best = t
+		if idle := c.idleTarget(p); idle != nil {
+			return idle, ""
 		}
+		return nil, "no idle target"
+	}
+	t := c.targets[p.Target]
+	if refusal := c.refusalFor(t, p); refusal != "" {
+		return nil, refusal
 	}
-	return best
+	return t, ""
+}
+
+// refusalFor returns why another home's task may not start on a target; empty: it may.
+func (c *Core) refusalFor(t *target, p *Placement) string {
+	switch {
+	case t == nil:
+		return "target is not owned here"
+	case t.evacuated:
+		reason := c.evacuationReason(t)
+		c.logDecision(Decision{Event: "start_withheld", Task: p.Task, Target: t.ID, Reason: reason, Value: int64(p.Run)})
+		return reason
+	case t.Service != p.Service || !matches(t.Labels, p.Requirement):
+		return "target does not match"
+	case !p.Need.Fits(t.free()):
+		return "no room"
+	case !t.usable(c.now):
+		return "target is not available"
+	case p.Suspect && t.hasSuspect():
+		return "beside another suspect"
+	case t.atStepLimit(p.Task, p.PerTarget):
+		return "limit of the step"
+	case t.runs[runKey{p.Task, p.Run}] != nil:
+		return "the run is there already"
+	}
+	return ""
 }
 
 func (c *Core) stopRequested(e StopRequested) {
--- a/placement/lend_test.go
+++ b/placement/lend_test.go
@@ -113,3 +113,72 @@
 		Expect(take[placement.AvailabilityChanged](h)).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("placements of other homes", func() {
+	place := func(h *harness, placements ...placement.Placement) {
+		for i := range placements {
+			p := &placements[i]
+			p.Ref, p.Run, p.Service, p.Need = uint64(i+1), 1, "desk", placement.Resources{CPUMillis: 1000}
+		}
+		h.step(0, placement.PlacementsRequested{Peer: "c1", Placements: placements})
+	}
+
+	// Guards against a task on a target that its home would not have chosen: only the
+	// home knows which other tasks of the step it has placed where.
+	It("start on the target that the home has chosen, or not at all", func() {
+		h := newHarness()
+		h.acquire("t")
+		place(h, placement.Placement{Task: "j.0.0.0", Target: "gone"})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+	})
+
+	// Guards against more tasks of a step on a target than the step allows: two placements
+	// of one request, and a run that its home has given up and that is still being stopped.
+	It("are refused beyond the limit of their step, counting runs that are being stopped", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.step(0, placement.PeerConnected{Peer: "c1"})
+		place(h, placement.Placement{Task: "j.0.0.0", Target: "t", PerTarget: 1},
+			placement.Placement{Task: "j.0.0.1", Target: "t", PerTarget: 1},
+			placement.Placement{Task: "j.0.1.0", Target: "t", PerTarget: 1})
+		Expect(h.confirmStarts()).To(HaveExactElements(HaveField("Task", "j.0.0.0"), HaveField("Task", "j.0.1.0")))
+		h.step(0, placement.PeerDisconnected{Peer: "c1"})
+		Expect(take[placement.StopOrder](h)).To(HaveLen(2))
+		h.step(0, placement.PlacementsRequested{Peer: "c2", Placements: []placement.Placement{
+			{Ref: 1, Task: "j.0.0.2", Run: 1, Service: "desk", Target: "t", PerTarget: 1},
+		}})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+	})
+
+	// Guards against the same after a move of the job: its new home knows of no run of the
+	// earlier one at its own target.
+	It("keep a task of their step away when this coordinator becomes its home", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.step(0, placement.PeerConnected{Peer: "c1"})
+		h.step(0, placement.PlacementsRequested{Peer: "c1", Placements: []placement.Placement{
+			{Ref: 1, Task: suspectJob + ".0.0.1", Run: 1, Service: "desk", Target: "t", PerTarget: 1},
+		}})
+		Expect(h.confirmStarts()).To(HaveLen(1))
+		moved := job(suspectJob, 1)
+		moved.Steps[0].PerTarget = 1
+		h.step(0, placement.Submit{Caller: placement.Caller{Gateway: "g", Ref: 1}, Job: moved})
+		Expect(take[placement.StartOrder](h)).To(BeEmpty())
+	})
+
+	// Guards against a target chosen by an owner of an earlier version, which does not know
+	// the limit.
+	It("with a limit go only to owners that check it", func() {
+		h := newHarness()
+		limited := lentJob("1")
+		limited.Job.Steps[0].PerTarget = 1
+		available := placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{availableTarget("t", 16000)}}
+		h.step(0, placement.PeerConnected{Peer: "c1"})
+		h.step(0, available)
+		h.step(0, limited)
+		Expect(take[placement.RequestPlacements](h)).To(BeEmpty())
+		h.step(0, placement.PeerConnected{Peer: "c1", ChecksStepLimits: true})
+		h.step(0, available)
+		Expect(take[placement.RequestPlacements](h)).To(HaveLen(1))
+	})
+})
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -184,7 +184,7 @@
 	requests[t.peer] = append(requests[t.peer], Placement{
 		Ref: t.ref, Task: t.name(), Run: t.runs, Queue: j.Queue, Service: j.Service, Spec: j.Spec,
 		Need: step.Need, Expected: step.Expected, Requirement: step.Requirement, Rack: step.Rack,
-		Target: t.target, Avoid: t.avoid, Stored: j.Stored, Alone: alone, Suspect: t.suspected(),
+		Target: t.target, Avoid: t.avoid, Stored: j.Stored, Alone: alone, Suspect: t.suspected(), PerTarget: step.PerTarget,
 	})
 }
 
@@ -197,7 +197,7 @@
 	for _, owned := range c.targets {
 		if !step.Need.Fits(owned.free()) || owned.Service != j.Service ||
 			!matches(owned.Labels, step.Requirement) || !owned.usable(c.now) || c.atPerTargetLimit(t, step, owned.ID) ||
-			t.suspected() && owned.hasSuspect() {
+			owned.atStepLimit(t.name(), step.PerTarget) || t.suspected() && owned.hasSuspect() {
 			continue
 		}
 		option := candidate{target: owned, score: c.score(t, step, owned.ID, owned.Labels, owned.free())}
@@ -211,7 +211,7 @@
 		}
 	}
 	for _, p := range c.peers {
-		if p.silent {
+		if p.silent || step.PerTarget > 0 && !c.checksStepLimits[p.name] {
 			continue
 		}
 		for i := range p.targets {
@@ -270,7 +270,9 @@
 	return a.remote.Target
 }
 
-// atPerTargetLimit reports whether a target has as many tasks of the step as it may.
+// atPerTargetLimit reports whether this home has placed as many tasks of the step on a
+// target as it may. It does not see the runs of earlier homes there, and learns late where
+// a task is that has to be alone, so the owner checks the limit again (atStepLimit).
 func (c *Core) atPerTargetLimit(t *task, step *Step, id string) bool {
 	if step.PerTarget == 0 {
 		return false
--- a/placement/simcoordinators_test.go
+++ b/placement/simcoordinators_test.go
@@ -34,8 +34,8 @@
 		c.disconnected[other.name], other.disconnected[c.name] = true, true
 		s.after(length+time.Duration(i*300)*time.Millisecond, func() {
 			s.restoreLink(c, other)
-			s.step(c, placement.PeerConnected{Peer: other.name})
-			s.step(other, placement.PeerConnected{Peer: c.name})
+			s.step(c, placement.PeerConnected{Peer: other.name, ChecksStepLimits: true})
+			s.step(other, placement.PeerConnected{Peer: c.name, ChecksStepLimits: true})
 		})
 	}
 }
--- a/placement/simcrashes_test.go
+++ b/placement/simcrashes_test.go
@@ -99,6 +99,7 @@
 			s.log.OnStart(now, task)
 			s.evacuations.started(s, t, task)
 			s.documents.started(s, t, task)
+			s.checkConditions(t, task)
 			s.crashes.started(task)
 		},
 	})
@@ -108,7 +109,7 @@
 
 // need returns what a task was submitted with; its name is ID.0.STEP.INDEX.
 func (s *simulation) need(task string) placement.Resources {
-	return s.jobs[placement.JobID(task)].Steps[0].Need
+	return s.submittedStep(task).Need
 }
 
 // planCrash lets a target crash at the time at which one of its runs does that.
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -296,8 +296,8 @@
 			if other != c {
 				s.restoreLink(c, other)
 				if c.incarnation == incarnation {
-					s.step(c, placement.PeerConnected{Peer: other.name})
-					s.step(other, placement.PeerConnected{Peer: c.name})
+					s.step(c, placement.PeerConnected{Peer: other.name, ChecksStepLimits: true})
+					s.step(other, placement.PeerConnected{Peer: c.name, ChecksStepLimits: true})
 				}
 			}
 		}
--- a/placement/simnetwork_test.go
+++ b/placement/simnetwork_test.go
@@ -181,8 +181,8 @@
 		delete(a.unheard, b.name)
 		delete(b.unheard, a.name)
 		s.restoreLink(a, b)
-		s.step(a, placement.PeerConnected{Peer: b.name})
-		s.step(b, placement.PeerConnected{Peer: a.name})
+		s.step(a, placement.PeerConnected{Peer: b.name, ChecksStepLimits: true})
+		s.step(b, placement.PeerConnected{Peer: a.name, ChecksStepLimits: true})
 	})
 }
 
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -67,6 +67,7 @@
 	progress     bool // targets list the progress of runs
 	queueOrder   placement.QueueOrder
 	work         func(task string) time.Duration // nil: random
+	steps        func() []placement.Step         // of a new job; nil: one step without conditions
 	answered     func(placement.AnswerJob)       // nil: aborted jobs are submitted again
 	started      func(placement.StartOrder)      // of each start; may be nil
 	sparseChecks bool                            // runs are compared between targets at every 100th event
@@ -156,11 +157,23 @@
 		Name: c.name, Home: c.home(), Lease: simLease, StopTime: simStopTime, FirstRef: uint64(s.now) << 12, UnixMS: 1_700_000_000_000 + s.now.Milliseconds() + s.clockError(),
 		QueueOrder: s.queueOrder,
 	})
+	for _, other := range s.coordinators {
+		if other != c {
+			s.connect(c, other)
+		}
+	}
 	s.tick(c, c.incarnation)
 	s.startLog(c)
 	s.startEvacuations(c)
 }
 
+// connect tells two coordinators what the other one supports. Their targets follow with
+// the next change.
+func (s *simulation) connect(a, b *simCoordinator) {
+	a.core.Step(s.now, placement.PeerConnected{Peer: b.name, ChecksStepLimits: true})
+	b.core.Step(s.now, placement.PeerConnected{Peer: a.name, ChecksStepLimits: true})
+}
+
 func (s *simulation) after(d time.Duration, do func()) {
 	s.seq++
 	heap.Push(&s.events, &timedEvent{at: s.now + d, seq: s.seq, do: do})
@@ -478,11 +491,18 @@
 		ID: fmt.Sprintf("%016x", s.random.Uint64()), Queue: "q", Service: s.documents.service(), DocumentVersion: s.documents.version(),
 		Stored:   s.storedShare > 0 && s.random.Float64() < s.storedShare,
 		Priority: s.random.IntN(3), MaxAttempts: 2, Stretch: 1.6, Allowance: 60 * time.Millisecond,
-		Steps: []placement.Step{{
-			Count: 1 + s.random.IntN(6), Expected: 200 * time.Millisecond,
-			Need: placement.Resources{CPUMillis: int64(9000 + s.random.IntN(11000)), MemoryMB: 64},
-		}},
+		Steps: s.newSteps(),
+	}
+}
+
+func (s *simulation) newSteps() []placement.Step {
+	if s.steps != nil {
+		return s.steps()
 	}
+	return []placement.Step{{
+		Count: 1 + s.random.IntN(6), Expected: 200 * time.Millisecond,
+		Need: placement.Resources{CPUMillis: int64(9000 + s.random.IntN(11000)), MemoryMB: 64},
+	}}
 }
 
 // load submits jobs at a rate until a time.
--- a/placement/target.go
+++ b/placement/target.go
@@ -156,6 +156,23 @@
 	return requirement == "" || slices.Contains(labels, requirement)
 }
 
+// atStepLimit reports whether as many tasks of a task's step are on the target as the
+// limit allows; 0 is none. Runs whose start is not confirmed, that are being stopped or
+// that an earlier owner has started are there as long as they are listed.
+func (t *target) atStepLimit(task string, limit int) bool {
+	if limit == 0 {
+		return false
+	}
+	step := stepOf(task)
+	count := 0
+	for key := range t.runs {
+		if stepOf(key.task) == step {
+			count++
+		}
+	}
+	return count >= limit
+}
+
 // onRack reports whether a target is on a rack.
 func onRack(labels []string, rack string) bool {
 	return rack == "" || slices.Contains(labels, rack)
--- a/placement/types.go
+++ b/placement/types.go
@@ -156,11 +156,12 @@
 	Expected    time.Duration
 	Requirement string
 	Rack        string
-	Target      string // chosen by the home; the owner may use another one
+	Target      string // chosen by the home; the owner uses another one only if Alone is set
 	Avoid       string // target on which the task has failed
 	Stored      bool
 	Alone       bool // no other run may be on the target at the same time
 	Suspect     bool // may crash its target; runs beside no other suspect
+	PerTarget   int  // most tasks of the step on one target; 0: no limit
 }
 
 // ReportKind is the state of a placement in a report.
@@ -265,6 +266,9 @@
 	return id
 }
 
+// stepOf returns the name of the step that a task belongs to, with its job.
+func stepOf(task string) string { return task[:max(strings.LastIndexByte(task, '.'), 0)] }
+
 func taskName(job string, step, index int) string {
 	return job + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
