placement: pause a step's placements at a target that refuses them

Cause: the owner starts no such task beside another one, and the home does not know which targets of others run one. Its correction of the free capacity makes the home try again at once. Change: a coordinator offers with each target whether a run there may have crashed a target, and homes keep such tasks away from it. Not changed: a run that has to be alone asks again after 100 ms, which also keeps a target set aside for it.

--- a/cluster/availability.go
+++ b/cluster/availability.go
@@ -63,7 +63,7 @@
 		p.sent[target.Target] = target
 		sameKind := known && old.Service == target.Service && slices.Equal(old.Labels, target.Labels) &&
 			old.Address == target.Address && old.BootUnixMS == target.BootUnixMS
-		if sameKind && old.Free == target.Free && old.Suspect == target.Suspect && old.Idle == target.Idle &&
+		if sameKind && old.Free == target.Free && old.Suspect == target.Suspect && old.HasSuspect == target.HasSuspect && old.Idle == target.Idle &&
 			old.Cold == target.Cold && old.SpeedPermille == target.SpeedPermille {
 			continue
 		}
--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -122,7 +122,7 @@
 		t := &targets[i]
 		message = append(message, &wire.Room{
 			Target: t.Target, Service: t.Service, Labels: t.Labels, Free: resourcesToWire(t.Free),
-			Suspect: t.Suspect, Idle: t.Idle, Cold: t.Cold, Address: t.Address, BornUnixMs: t.BootUnixMS, SpeedPermille: int64(t.SpeedPermille),
+			Suspect: t.Suspect, HasSuspect: t.HasSuspect, Idle: t.Idle, Cold: t.Cold, Address: t.Address, BornUnixMs: t.BootUnixMS, SpeedPermille: int64(t.SpeedPermille),
 		})
 	}
 	return message
@@ -133,7 +133,7 @@
 	for _, r := range message {
 		targets = append(targets, placement.AvailableTarget{
 			Target: r.GetTarget(), Service: r.GetService(), Labels: r.GetLabels(), Free: resourcesFromWire(r.GetFree()),
-			Suspect: r.GetSuspect(), Idle: r.GetIdle(), Cold: r.GetCold(), Address: r.GetAddress(), BootUnixMS: r.GetBornUnixMs(),
+			Suspect: r.GetSuspect(), HasSuspect: r.GetHasSuspect(), Idle: r.GetIdle(), Cold: r.GetCold(), Address: r.GetAddress(), BootUnixMS: r.GetBornUnixMs(),
 			SpeedPermille: int(r.GetSpeedPermille()),
 		})
 	}
--- a/placement/core.go
+++ b/placement/core.go
@@ -214,7 +214,7 @@
 		if !c.draining && t.usable(c.now) {
 			available = append(available, AvailableTarget{
 				Target: id, Service: t.Service, Labels: t.Labels, Free: t.offered(c.now), Suspect: t.health.suspect(c.now),
-				Idle: len(t.runs) == 0, Cold: t.cold(c.now), Address: t.Address, BootUnixMS: t.BootUnixMS,
+				HasSuspect: t.hasSuspect(), Idle: len(t.runs) == 0, Cold: t.cold(c.now), Address: t.Address, BootUnixMS: t.BootUnixMS,
 				SpeedPermille: speedPermille(t.speed.class),
 			})
 		}
--- a/placement/home.go
+++ b/placement/home.go
@@ -37,6 +37,7 @@
 	epoch       int             // of a stored job: number of moves to other homes
 
 	aliveUntil time.Duration // lost runs may be alive until then
+	refusals   refusals
 
 	unservedSince    time.Duration // since then its service has had no usable target; 0: it has one
 	unservedReported bool
@@ -323,6 +324,7 @@
 			t.startedAt = c.now
 		}
 		t.state, t.target, t.token = running, report.Target, max(t.token, report.Token)
+		t.noteAccepted(report.Target)
 		j.begun = true
 		return
 	}
@@ -333,6 +335,7 @@
 		event := "run_ended"
 		if report.Kind == RunRejected {
 			event = "placement_refused"
+			t.noteRefusal(report.Target, c.now)
 		}
 		c.logDecision(Decision{
 			Event: event, Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -45,7 +45,7 @@
 		switch {
 		case known && t.Service == "":
 			p.targets[i].Free, p.targets[i].Suspect, p.targets[i].Idle, p.targets[i].Cold = t.Free, t.Suspect, t.Idle, t.Cold
-			p.targets[i].SpeedPermille = t.SpeedPermille
+			p.targets[i].SpeedPermille, p.targets[i].HasSuspect = t.SpeedPermille, t.HasSuspect
 		case known:
 			p.targets[i] = t
 		case t.Service != "":
--- a/placement/queueorder.go
+++ b/placement/queueorder.go
@@ -286,7 +286,7 @@
 
 // recordFull records that no target has capacity for a task.
 func (o *costOrder) recordFull(j *job, t *task, step *Step) {
-	if o == nil || t.suspected() || step.PerTarget > 0 {
+	if o == nil || t.suspected() || step.PerTarget > 0 || len(j.refusals) > 0 {
 		return // the task may be kept from a target that has capacity
 	}
 	kind := placementKind{j.Service, step.Requirement}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -197,7 +197,7 @@
 	for _, owned := range c.targets {
 		if !step.Need.Fits(owned.free()) || owned.Service != j.Service ||
 			!matches(owned.Labels, step.Requirement) || !owned.usable(c.now) || c.atPerTargetLimit(t, step, owned.ID) ||
-			owned.atStepLimit(t.name(), step.PerTarget) || t.suspected() && owned.hasSuspect() {
+			owned.atStepLimit(t.name(), step.PerTarget) || t.suspected() && owned.hasSuspect() || t.refusedBy(owned.ID, c.now) {
 			continue
 		}
 		option := candidate{target: owned, score: c.score(t, step, owned.ID, owned.Labels, owned.free())}
@@ -218,7 +218,8 @@
 			remote := &p.targets[i]
 			// The cheapest check that excludes most targets comes first.
 			if !step.Need.Fits(remote.Free) || remote.Service != j.Service ||
-				!matches(remote.Labels, step.Requirement) || c.atPerTargetLimit(t, step, remote.Target) {
+				!matches(remote.Labels, step.Requirement) || c.atPerTargetLimit(t, step, remote.Target) ||
+				t.suspected() && remote.HasSuspect || t.refusedBy(remote.Target, c.now) {
 				continue
 			}
 			option := candidate{peer: p, remote: remote, score: remoteCost + c.score(t, step, remote.Target, remote.Labels, remote.Free)}
--- a/placement/suspects_test.go
+++ b/placement/suspects_test.go
@@ -364,3 +364,29 @@
 		Expect(h.events()).To(ContainElements("task_crashed_target", "task_isolated"))
 	})
 })
+
+var _ = Describe("a task that may have crashed its target", func() {
+	// Guards against placements that the owner of a target refuses again and again,
+	// because a run there may have crashed a target, too.
+	It("is not placed on another coordinator's target beside such a task", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.submitPatient(1)
+		h.confirmStarts()
+		h.step(20*time.Second, placement.Heartbeat{Description: description("t", 2)})
+		for _, poll := range h.polls("t") { // the target falls silent without a trace of its end
+			h.step(0, placement.OrderResponse{Order: poll.Order, Result: placement.Unknown})
+		}
+		for polls := h.polls("t"); len(polls) > 0; polls = h.polls("t") {
+			h.step(0, placement.OrderResponse{Order: polls[0].Order, Result: placement.Unknown})
+		}
+		offer := availableTarget("u", 32000)
+		offer.HasSuspect = true
+		h.step(0, placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{offer}})
+		h.wait(3 * time.Second)
+		Expect(take[placement.RequestPlacements](h)).To(BeEmpty())
+		offer.HasSuspect = false
+		h.step(0, placement.PeerAvailability{Peer: "c1", Targets: []placement.AvailableTarget{offer}})
+		Expect(take[placement.RequestPlacements](h)).To(HaveLen(1))
+	})
+})
--- a/placement/types.go
+++ b/placement/types.go
@@ -135,8 +135,10 @@
 	Labels  []string
 	Free    Resources
 	Suspect bool // considered last: has failed a run or is slow
-	Idle    bool // without runs
-	Cold    bool // slow for a while, considered after warm ones
+	// HasSuspect is set if a task runs there that may run beside no other suspect.
+	HasSuspect bool
+	Idle       bool // without runs
+	Cold       bool // slow for a while, considered after warm ones
 	// SpeedPermille is the learned speed in thousandths of the mean; 0: unknown or near it.
 	SpeedPermille int
 
