jobtable, placement: give each home a range of run numbers that it keeps to

Cause: a move gives up the runs of the earlier home up to 1,000 an epoch, and trusts that the home has ordered none above. Each placement takes a number, refused ones too, and nothing keeps a home below 1,000. Above that line the end of an earlier home's run counts as one of the present home, and the numbers of both can be the same. Ruled out: a larger constant alone, which is trust again; a second record of the same end (the table ignores it). Change: the entries that accept and move a job give its home a range of 2^20 numbers for each task. A home orders none above its range and asks for a move instead. A move gives up all numbers below the new range. Why it works: no number belongs to two homes, whatever the log has recorded, and the floor after a move lies between the ranges.

--- a/cluster/convert.go
+++ b/cluster/convert.go
@@ -70,7 +70,7 @@
 	for i := range placements {
 		p := &placements[i]
 		request.Placements = append(request.Placements, &wire.Placement{
-			Ref: p.Ref, Task: p.Task, Run: int32(p.Run), Queue: p.Queue, Service: p.Service, Spec: p.Spec,
+			Ref: p.Ref, Task: p.Task, Run: int64(p.Run), Queue: p.Queue, Service: p.Service, Spec: p.Spec,
 			Need: resourcesToWire(p.Need), ExpectedMs: ms(p.Expected), Requirement: p.Requirement,
 			Rack: p.Rack, Target: p.Target, Avoid: p.Avoid, Stored: p.Stored,
 			Alone: p.Alone, Suspect: p.Suspect, PerTarget: int32(p.PerTarget),
@@ -161,7 +161,7 @@
 	for i := range h.Runs {
 		r := &h.Runs[i]
 		message.Runs = append(message.Runs, &wire.HandedRun{
-			Home: r.Home, Ref: r.Ref, Task: r.Task, Run: int32(r.Run), Queue: r.Queue,
+			Home: r.Home, Ref: r.Ref, Task: r.Task, Run: int64(r.Run), Queue: r.Queue,
 			Need: resourcesToWire(r.Need), ExpectedMs: ms(r.Expected), Stopping: r.Stopping, Stored: r.Stored, AgeMs: ms(r.Age),
 			Alone: r.Alone, Exclusive: r.Exclusive,
 		})
@@ -205,7 +205,7 @@
 	if l == nil {
 		return nil
 	}
-	return &wire.RunLoss{Run: int32(l.Run), Target: l.Target, Loss: targetLossToWire(&l.TargetLoss)}
+	return &wire.RunLoss{Run: int64(l.Run), Target: l.Target, Loss: targetLossToWire(&l.TargetLoss)}
 }
 
 func runLossFromWire(l *wire.RunLoss) placement.RunLoss {
--- a/cluster/coordinator.go
+++ b/cluster/coordinator.go
@@ -95,6 +95,8 @@
 	reportsLogReads bool
 	hasReadLog      bool
 	logReadAt       time.Duration // when that read began, at the latest; boottimeNow
+	// knowsRunRanges is set for coordinators that apply the run ranges of log entries.
+	knowsRunRanges bool
 	// requestsDocuments is set for gateways that fetch the document; the fields below
 	// are for the others, of earlier versions.
 	requestsDocuments bool
@@ -119,7 +121,7 @@
 		evacuationHeld: make(chan struct{}, 1),
 	}
 	hello := newHello(options.Name, options.DataCentre)
-	hello.Voter, hello.ReportsLogReads, hello.ChecksStepLimits = true, true, true
+	hello.Voter, hello.ReportsLogReads, hello.ChecksStepLimits, hello.KnowsRunRanges = true, true, true, true
 	c.options.Placement.Home = homeName(hello)
 	c.options.Placement.FirstRef = firstRef()
 	c.logNode = &logNode{
--- a/cluster/homes.go
+++ b/cluster/homes.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"hawthornshore.example/consensus"
+	"hawthornshore.example/jobtable"
 	"hawthornshore.example/jobtable/homes"
 	"hawthornshore.example/placement"
 	"hawthornshore.example/wire"
@@ -124,6 +125,20 @@
 	return names
 }
 
+// runRange returns the size of the ranges of run numbers in new entries of the log. While
+// a coordinator of an earlier version is linked, which would apply another size, it is
+// that version's, 0.
+func (c *Coordinator) runRange() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.linked {
+		if state.coordinator && !state.knowsRunRanges {
+			return 0
+		}
+	}
+	return jobtable.RunRange
+}
+
 // moveHome moves the stored jobs of a home to another coordinator.
 func (c *Coordinator) moveHome(ctx context.Context, home string) error {
 	to := rendezvous(home, homes.Candidates(boottimeNow(), c.knownHomes(), home))
@@ -133,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, logOperationTimeout)
 	defer cancel()
 	_, err := c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
-		Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: home, To: to}},
+		Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: home, To: to, RunRange: c.runRange()}},
 	}}})
 	c.options.Logger.Info().Str("event", "home_moved").Str("home", home).Str("peer", to).Err(err).Send()
 	return errors.Annotate(err, "move home")
--- a/cluster/homes_test.go
+++ b/cluster/homes_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"hawthornshore.example/jobtable"
 	"hawthornshore.example/jobtable/homes"
 	"hawthornshore.example/wire"
 )
@@ -50,6 +51,18 @@
 		Expect(candidates()).To(BeEmpty())
 	})
 
+	// Guards against tables that differ: a coordinator of an earlier version applies other
+	// ranges of run numbers than those of this version.
+	It("get the run numbers of an earlier version while one is linked", func() {
+		c.LinkUp(&wire.Hello{Instance: "new", Voter: true, KnowsRunRanges: true})
+		c.LinkUp(&wire.Hello{Instance: "gateway"})
+		Expect(c.runRange()).To(Equal(int64(jobtable.RunRange)))
+		c.LinkUp(&wire.Hello{Instance: "earlier", Voter: true})
+		Expect(c.runRange()).To(BeZero())
+		c.LinkDown("earlier", nil)
+		Expect(c.runRange()).To(Equal(int64(jobtable.RunRange)))
+	})
+
 	// Guards against a returned coordinator that counts by what its earlier process read.
 	It("count a new process by its own reads", func() {
 		link("follows", true, 0)
--- a/cluster/loop.go
+++ b/cluster/loop.go
@@ -222,6 +222,8 @@
 		c.recorder.recordGiveUp(&e)
 	case placement.RecordLoss:
 		c.recorder.recordLoss(&e)
+	case placement.MoveStoredJobs:
+		go c.moveOwnJobs(ctx)
 	case placement.AvailabilityChanged:
 		l.availabilityDirty = true
 	case placement.AvailabilityCorrected:
--- a/cluster/messages.go
+++ b/cluster/messages.go
@@ -139,6 +139,7 @@
 	c.linked[name] = peerState{
 		coordinator: hello.GetVoter(), dataCentre: hello.GetDataCentre(), home: homeName(hello),
 		requestsDocuments: hello.GetRequestsDocuments(), reportsLogReads: hello.GetReportsLogReads(),
+		knowsRunRanges: hello.GetKnowsRunRanges(),
 	}
 	if hello.GetVoter() {
 		c.directory[name] = hello.GetDataCentre()
--- a/cluster/recorder.go
+++ b/cluster/recorder.go
@@ -51,7 +51,7 @@
 func (r *recorder) recordEnd(e *placement.RecordEnd) {
 	r.enqueue(queuedCommand{
 		command: &wire.JobCommand{Body: &wire.JobCommand_End{
-			End: &wire.RunEnd{Task: e.Task, Run: int32(e.Run), Done: e.Done},
+			End: &wire.RunEnd{Task: e.Task, Run: int64(e.Run), Done: e.Done},
 		}},
 		job: placement.JobID(e.Task),
 		onRecorded: func(verdict wire.CommandVerdict) {
@@ -68,7 +68,7 @@
 func (r *recorder) recordGiveUp(e *placement.GiveUpRun) {
 	r.enqueue(queuedCommand{
 		command: &wire.JobCommand{Body: &wire.JobCommand_GiveUp{
-			GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int32(e.Run), Loss: runLossToWire(e.Loss)},
+			GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int64(e.Run), Loss: runLossToWire(e.Loss)},
 		}},
 		job: placement.JobID(e.Task),
 	})
--- a/cluster/state.go
+++ b/cluster/state.go
@@ -176,7 +176,7 @@
 	if j == nil || j.Ended() {
 		return placement.StoredJobChanged{Job: placement.Job{ID: id}, Ended: true}
 	}
-	change := placement.StoredJobChanged{Job: jobFromWire(j.Submission), Home: j.Home, Epoch: j.Epoch}
+	change := placement.StoredJobChanged{Job: jobFromWire(j.Submission), Home: j.Home, Epoch: j.Epoch, RunLimit: j.RunLimit}
 	for _, tasks := range j.Tasks {
 		progress := make([]placement.TaskProgress, len(tasks))
 		for i := range tasks {
--- a/cluster/stored.go
+++ b/cluster/stored.go
@@ -37,7 +37,7 @@
 		return refused
 	}
 	_, err := c.logNode.propose(ctx, &wire.LogCommand{Jobs: []*wire.JobCommand{{
-		Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: submission, Home: c.options.Placement.Home}},
+		Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: submission, Home: c.options.Placement.Home, RunRange: c.runRange()}},
 	}}})
 	c.endProposal(proposal, err == nil || errors.Is(err, ErrRefused))
 	switch {
--- a/jobtable/crashes_test.go
+++ b/jobtable/crashes_test.go
@@ -10,7 +10,7 @@
 	"hawthornshore.example/wire"
 )
 
-func lost(run int32, crashed bool) *wire.RunLoss {
+func lost(run int64, crashed bool) *wire.RunLoss {
 	return &wire.RunLoss{Run: run, Target: "t", Loss: &wire.TargetLoss{Address: "a", BornUnixMs: 7, Crashed: crashed}}
 }
 
@@ -40,7 +40,7 @@
 	It("are removed for a target that has not crashed", func() {
 		apply(taskLoss(lost(1, false), false), taskLoss(lost(2, false), false), taskLoss(lost(1, false), true))
 		Expect(losses()).To(HaveLen(1))
-		Expect(losses()[0].GetRun()).To(Equal(int32(2)))
+		Expect(losses()[0].GetRun()).To(Equal(int64(2)))
 	})
 
 	// Guards against a new home or a restart at which the crashes are forgotten.
@@ -55,11 +55,11 @@
 
 	// Guards against a record that grows without bound while targets are lost.
 	It("are bounded", func() {
-		for run := range int32(2 * maxLosses) {
+		for run := range int64(2 * maxLosses) {
 			apply(taskLoss(lost(run+1, false), false))
 		}
 		Expect(losses()).To(HaveLen(maxLosses))
-		Expect(losses()[0].GetRun()).To(Equal(int32(maxLosses + 1)))
+		Expect(losses()[0].GetRun()).To(Equal(int64(maxLosses + 1)))
 	})
 
 	// Guards against a state of an earlier version that cannot be read.
--- a/jobtable/table.go
+++ b/jobtable/table.go
@@ -15,9 +15,15 @@
 	"hawthornshore.example/wire"
 )
 
-// RunsPerEpoch is the number of runs that a task may have at one home. The run
-// numbers of a later home are higher than those of all earlier homes.
-const RunsPerEpoch = 1000
+// RunRange is the size of the range of run numbers that a home gets for each task of a
+// job. A home orders no run above its range, so that the numbers of a later home, which
+// lie above it, differ from those of all earlier homes, however many runs they have
+// ordered and whatever of them the log has recorded.
+const RunRange = 1 << 20
+
+// earlierRunRange is the size of the range in entries of an earlier version. The homes of
+// that version did not keep to it.
+const earlierRunRange = 1000
 
 // Job is a stored job.
 type Job struct {
@@ -25,6 +31,7 @@
 	ID         string
 	Home       string
 	Epoch      int // number of moves to other homes
+	RunLimit   int // highest run number that the home may order
 	State      wire.StoredState
 	EndedMS    int64
 	Tasks      [][]Task // by step
@@ -144,6 +151,7 @@
 		}
 	}
 	j := &Job{Submission: c.GetJob(), ID: id, Home: c.GetHome(), State: wire.StoredState_STORED_STATE_QUEUED}
+	j.startRunRange(c.GetRunRange())
 	for _, step := range c.GetJob().GetSteps() {
 		j.Tasks = append(j.Tasks, make([]Task, step.GetCount()))
 		j.remaining += int(step.GetCount())
@@ -213,6 +221,18 @@
 	return verdictTaken, []*Job{j}
 }
 
+// startRunRange gives the job's home the next range of run numbers, and returns the
+// highest number below it. The range of an epoch begins at a multiple of its size or
+// higher, far above the numbers of homes of an earlier version.
+func (j *Job) startRunRange(size int64) int {
+	if size <= 0 {
+		size = earlierRunRange
+	}
+	below := max(j.RunLimit, j.Epoch*int(size))
+	j.RunLimit = below + int(size)
+	return below
+}
+
 // move assigns a home's unfinished jobs to another one and gives up their runs.
 func (t *Table) move(c *wire.HomeMove) (wire.CommandVerdict, []*Job) {
 	var moved []*Job
@@ -224,9 +244,10 @@
 		t.countHome(c.GetTo(), 1)
 		j.Home = c.GetTo()
 		j.Epoch++
+		givenUp := j.startRunRange(c.GetRunRange())
 		for _, tasks := range j.Tasks {
 			for i := range tasks {
-				tasks[i].Floor = max(tasks[i].Floor, j.Epoch*RunsPerEpoch)
+				tasks[i].Floor = max(tasks[i].Floor, givenUp)
 			}
 		}
 		moved = append(moved, j)
@@ -273,6 +294,7 @@
 	for _, j := range t.Jobs() {
 		stored := &wire.StoredJob{
 			Job: j.Submission, Home: j.Home, Epoch: int32(j.Epoch), State: j.State, EndedUnixMs: j.EndedMS,
+			RunLimit: int64(j.RunLimit),
 		}
 		if j.Submission == nil {
 			stored.Job = &wire.Submission{JobId: j.ID}
@@ -287,9 +309,9 @@
 }
 
 func taskToWire(step int, t *Task) *wire.StoredTask {
-	stored := &wire.StoredTask{Step: int32(step), DoneRun: int32(t.DoneRun), Floor: int32(t.Floor), Losses: t.Losses}
+	stored := &wire.StoredTask{Step: int32(step), DoneRun: int64(t.DoneRun), Floor: int64(t.Floor), Losses: t.Losses}
 	for _, run := range t.Failed {
-		stored.Failed = append(stored.Failed, int32(run))
+		stored.Failed = append(stored.Failed, int64(run))
 	}
 	return stored
 }
@@ -303,7 +325,10 @@
 	for _, stored := range state.GetJobs() {
 		j := &Job{
 			ID: stored.GetJob().GetJobId(), Home: stored.GetHome(), Epoch: int(stored.GetEpoch()),
-			State: stored.GetState(), EndedMS: stored.GetEndedUnixMs(),
+			State: stored.GetState(), EndedMS: stored.GetEndedUnixMs(), RunLimit: int(stored.GetRunLimit()),
+		}
+		if j.RunLimit == 0 { // of an earlier version
+			j.RunLimit = (j.Epoch + 1) * earlierRunRange
 		}
 		if err := j.restoreTasks(stored.GetTasks()); err != nil {
 			return err
--- a/jobtable/table_test.go
+++ b/jobtable/table_test.go
@@ -25,11 +25,11 @@
 	return &wire.JobCommand{Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: job, Home: home}}}
 }
 
-func end(task string, run int32, done bool) *wire.JobCommand {
+func end(task string, run int64, done bool) *wire.JobCommand {
 	return &wire.JobCommand{Body: &wire.JobCommand_End{End: &wire.RunEnd{Task: task, Run: run, Done: done}}}
 }
 
-func giveUp(task string, run int32) *wire.JobCommand {
+func giveUp(task string, run int64) *wire.JobCommand {
 	return &wire.JobCommand{Body: &wire.JobCommand_GiveUp{GiveUp: &wire.RunGiveUp{Task: task, Run: run}}}
 }
 
@@ -103,7 +103,7 @@
 			Expect(t.Job(id).State).To(Equal(wire.StoredState_STORED_STATE_RUNNING))
 			t.Apply(2000, commands)
 			Expect(t.Job(id).State).To(Equal(wire.StoredState_STORED_STATE_RUNNING), "the same commands again")
-			t.Apply(3000, []*wire.JobCommand{end(id+".0.0.0", RunsPerEpoch+3, true), end(id+".0.0.1", RunsPerEpoch+1, true)})
+			t.Apply(3000, []*wire.JobCommand{end(id+".0.0.0", earlierRunRange+3, true), end(id+".0.0.1", earlierRunRange+1, true)})
 			Expect(t.Job(id).State).To(Equal(wire.StoredState_STORED_STATE_COMPLETED))
 		}
 	},
@@ -112,7 +112,7 @@
 		Entry("failed, done and done", end(id+".0.0.0", 1, false), end(id+".0.0.0", 2, true), end(id+".0.0.0", 3, true)),
 		Entry("given up, done and done", giveUp(id+".0.0.0", 1), end(id+".0.0.0", 2, true), end(id+".0.0.0", 1, true), end(id+".0.0.0", 3, true)),
 		Entry("done, given up and done", end(id+".0.0.0", 1, true), giveUp(id+".0.0.0", 2), end(id+".0.0.0", 2, true)),
-		Entry("done, moved and done", end(id+".0.0.0", 1, true), move("c1/1", "c2/1"), end(id+".0.0.0", RunsPerEpoch+1, true)),
+		Entry("done, moved and done", end(id+".0.0.0", 1, true), move("c1/1", "c2/1"), end(id+".0.0.0", earlierRunRange+1, true)),
 	)
 
 	// Guards against a process that ends, or a job that is reopened, at a snapshot of a
@@ -143,9 +143,9 @@
 		Expect(j.Home).To(Equal("c2/1"))
 		Expect(j.Epoch).To(Equal(1))
 		Expect(j.Tasks[0][0].Done()).To(BeTrue())
-		Expect(j.Tasks[0][1].Floor).To(Equal(RunsPerEpoch))
+		Expect(j.Tasks[0][1].Floor).To(Equal(earlierRunRange))
 		Expect(apply(end(id+".0.0.1", 1, true))).To(HaveExactElements(verdictGivenUp))
-		Expect(apply(end(id+".0.0.1", RunsPerEpoch+1, true))).To(HaveExactElements(verdictTaken))
+		Expect(apply(end(id+".0.0.1", earlierRunRange+1, true))).To(HaveExactElements(verdictTaken))
 	})
 
 	// Guards against an end that reopens a cancelled job, or that its target keeps
@@ -195,3 +195,68 @@
 		Expect(changed[0].State).To(Equal(wire.StoredState_STORED_STATE_COMPLETED))
 	})
 })
+
+// ranged returns a command with the range of run numbers of this version.
+func ranged(command *wire.JobCommand) *wire.JobCommand {
+	switch body := command.GetBody().(type) {
+	case *wire.JobCommand_Accept:
+		body.Accept.RunRange = RunRange
+	case *wire.JobCommand_Move:
+		body.Move.RunRange = RunRange
+	}
+	return command
+}
+
+var _ = Describe("run numbers", func() {
+	const task = id + ".0.0.0"
+	var table *Table
+	apply := func(commands ...*wire.JobCommand) []wire.CommandVerdict {
+		verdicts, _ := table.Apply(1000, commands)
+		return verdicts
+	}
+	BeforeEach(func() { table = New(time.Minute) })
+
+	// Guards against a done task that starts again: the end of a run that the earlier home
+	// has ordered after thousands of refused ones, none of which the log has, counts as the
+	// end of the present home's run.
+	It("of an earlier home never count for the present one", func() {
+		apply(ranged(accept("c1/1", 1)))
+		for epoch, home := range []string{"c2/1", "c3/1"} {
+			last := table.Job(id).RunLimit
+			Expect(last).To(Equal((epoch + 1) * RunRange))
+			apply(ranged(move(table.Job(id).Home, home)))
+			Expect(apply(end(task, int64(last), true))).To(HaveExactElements(verdictGivenUp))
+			Expect(table.Job(id).Tasks[0][0].Floor).To(Equal(last))
+		}
+		Expect(apply(end(task, 2*RunRange+1, true))).To(HaveExactElements(verdictTaken))
+	})
+
+	// Guards against a give-up by the earlier home that arrives after the move, and gives up
+	// runs of the present one.
+	It("of the present home are not given up by a late command of the earlier one", func() {
+		apply(ranged(accept("c1/1", 1)), ranged(move("c1/1", "c2/1")), giveUp(task, 1400))
+		Expect(apply(end(task, RunRange+1, true))).To(HaveExactElements(verdictTaken))
+	})
+
+	// Guards against the same for homes of an earlier version, which did not keep to their
+	// ranges.
+	It("of a home of an earlier version never count after a move by this version", func() {
+		apply(accept("c1/1", 1), end(task, 1400, false), ranged(move("c1/1", "c2/1")))
+		Expect(apply(end(task, 9999, true))).To(HaveExactElements(verdictGivenUp))
+		Expect(apply(end(task, RunRange+1, true))).To(HaveExactElements(verdictTaken))
+	})
+
+	// Guards against another meaning of old entries and snapshots: a run that counted when
+	// its end was acknowledged would no longer count after a restart.
+	It("in entries and snapshots of an earlier version mean what they meant", func() {
+		apply(accept("c1/1", 2), move("c1/1", "c2/1"), move("c2/1", "c3/1"))
+		Expect(table.Job(id).Tasks[0][0].Floor).To(Equal(2000))
+		Expect(table.Job(id).RunLimit).To(Equal(3000))
+		state := &wire.CoordinatorState{}
+		table.Snapshot(state)
+		state.Jobs[0].RunLimit = 0
+		Expect(table.Restore(state)).To(Succeed())
+		Expect(table.Job(id).RunLimit).To(Equal(3000))
+		Expect(apply(end(task, 3400, true))).To(HaveExactElements(verdictTaken))
+	})
+})
--- a/placement/core.go
+++ b/placement/core.go
@@ -61,6 +61,7 @@
 	logConfirmedAt  time.Duration // a time before the last such read
 	storedSuspended bool          // the runs of stored jobs have been stopped since
 	storedStarts    startRate     // of the tasks of stored jobs
+	moveRequestedAt time.Duration // last request to move the stored jobs
 
 	suspects         []*task                     // tasks with losses
 	lostTargets      []lostTarget                // that may have crashed, lost here
--- a/placement/home.go
+++ b/placement/home.go
@@ -35,6 +35,7 @@
 	ending      bool            // no further starts; waits for the runs to end
 	successor   *Submit         // a later submission of the ID, admitted after the end
 	epoch       int             // of a stored job: number of moves to other homes
+	runLimit    int             // of a stored job: highest run number to order
 
 	aliveUntil time.Duration // lost runs may be alive until then
 	refusals   refusals
--- a/placement/queueorder_stored_test.go
+++ b/placement/queueorder_stored_test.go
@@ -61,7 +61,7 @@
 			for id, queue := range map[string]string{"00000000000000aa": "q", "00000000000000ab": "other"} {
 				stored := storedShortageJob(id)
 				stored.Queue, stored.Steps = queue, []placement.Step{step}
-				h.step(0, placement.StoredJobChanged{Job: stored, Home: "c0/1", Tasks: [][]placement.TaskProgress{make([]placement.TaskProgress, step.Count)}})
+				h.step(0, placement.StoredJobChanged{Job: stored, Home: "c0/1", RunLimit: 1000, Tasks: [][]placement.TaskProgress{make([]placement.TaskProgress, step.Count)}})
 			}
 			h.submitStep(2, placement.Step{Count: 2, Need: placement.Resources{CPUMillis: 14000}, Expected: 200 * time.Millisecond})
 			h.step(placement.TickInterval, placement.Tick{})
--- a/placement/queueorder_test.go
+++ b/placement/queueorder_test.go
@@ -288,7 +288,7 @@
 		h.submit("0000000000000001", 2, 1)
 		h.confirmStarts()
 		h.step(0, placement.LogReadConfirmed{StartedAt: h.now})
-		h.step(0, placement.StoredJobChanged{Job: storedShortageJob("0000000000000002"), Home: "c0/1", Tasks: [][]placement.TaskProgress{make([]placement.TaskProgress, 3)}})
+		h.step(0, placement.StoredJobChanged{Job: storedShortageJob("0000000000000002"), Home: "c0/1", RunLimit: 1000, Tasks: [][]placement.TaskProgress{make([]placement.TaskProgress, 3)}})
 		for range 100 {
 			h.step(placement.TickInterval, placement.Tick{})
 			h.step(0, placement.LogReadConfirmed{StartedAt: h.now})
--- a/placement/queues_test.go
+++ b/placement/queues_test.go
@@ -34,7 +34,7 @@
 	stored := func(service string, version uint64, tasks int, progress ...placement.TaskProgress) placement.StoredJobChanged {
 		j := job(id, tasks)
 		j.Stored, j.Service, j.DocumentVersion = true, service, version
-		return placement.StoredJobChanged{Job: j, Home: "c0/1", Tasks: [][]placement.TaskProgress{progress}}
+		return placement.StoredJobChanged{Job: j, Home: "c0/1", RunLimit: 1000, Tasks: [][]placement.TaskProgress{progress}}
 	}
 	started := func() map[string]string {
 		targets := map[string]string{}
--- a/placement/schedule.go
+++ b/placement/schedule.go
@@ -95,6 +95,9 @@
 			if !c.mayShareTarget(t) {
 				continue // placeTrials
 			}
+			if !c.hasRunNumber(t) {
+				continue
+			}
 			if !c.placeTask(j, t, requests) {
 				if t.suspected() {
 					continue // others may run beside a suspect
--- a/placement/simcrashes_test.go
+++ b/placement/simcrashes_test.go
@@ -196,7 +196,7 @@
 	if l == nil {
 		return nil
 	}
-	return &wire.RunLoss{Run: int32(l.Run), Target: l.Target, Loss: &wire.TargetLoss{
+	return &wire.RunLoss{Run: int64(l.Run), Target: l.Target, Loss: &wire.TargetLoss{
 		Address: l.Address, BornUnixMs: l.BootUnixMS, Alone: l.Alone, Newest: l.Newest, Crashed: l.Crashed,
 	}}
 }
@@ -210,7 +210,7 @@
 
 func (s *simulation) giveUp(c *simCoordinator, e *placement.GiveUpRun) {
 	s.propose(c, &wire.JobCommand{Body: &wire.JobCommand_GiveUp{
-		GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int32(e.Run), Loss: lossToLog(e.Loss)},
+		GiveUp: &wire.RunGiveUp{Task: e.Task, Run: int64(e.Run), Loss: lossToLog(e.Loss)},
 	}}, nil)
 }
 
--- a/placement/simlog_test.go
+++ b/placement/simlog_test.go
@@ -35,6 +35,8 @@
 	submitted     map[string]bool // stored jobs whose acceptance is certain
 	completed     int
 	checkingHomes bool
+	runRange      int64 // of each home
+	moves         int   // at the request of homes
 
 	*emulator.RunChecker // checks the runs of stored jobs
 }
@@ -42,6 +44,7 @@
 func newSimLog() *simLog {
 	l := &simLog{
 		table: jobtable.New(logRetention), watch: homes.NewWatch(homeTimeout), submitted: map[string]bool{},
+		runRange: jobtable.RunRange,
 	}
 	l.RunChecker = emulator.NewRunChecker(storedAttempts, func(task string) bool { return l.submitted[placement.JobID(task)] })
 	return l
@@ -113,7 +116,7 @@
 	if j.Ended() {
 		return placement.StoredJobChanged{Job: placement.Job{ID: j.ID}, Ended: true}
 	}
-	change := placement.StoredJobChanged{Job: s.storedJob(j), Home: j.Home, Epoch: j.Epoch}
+	change := placement.StoredJobChanged{Job: s.storedJob(j), Home: j.Home, Epoch: j.Epoch, RunLimit: j.RunLimit}
 	for _, tasks := range j.Tasks {
 		var progress []placement.TaskProgress
 		for i := range tasks {
@@ -207,7 +210,7 @@
 // recordEnd proposes the end of a run and reports the result to the core.
 func (s *simulation) recordEnd(c *simCoordinator, e placement.RecordEnd) {
 	s.propose(c, &wire.JobCommand{Body: &wire.JobCommand_End{
-		End: &wire.RunEnd{Task: e.Task, Run: int32(e.Run), Done: e.Done},
+		End: &wire.RunEnd{Task: e.Task, Run: int64(e.Run), Done: e.Done},
 	}}, func(verdict wire.CommandVerdict) {
 		s.step(c, placement.EndRecorded{
 			Target: e.Target, BootUnixMS: e.BootUnixMS, Number: e.Number, GivenUp: verdict == wire.CommandVerdict_COMMAND_VERDICT_GIVEN_UP,
@@ -232,7 +235,7 @@
 	}
 	home := c.home()
 	s.after(time.Duration(5+s.random.IntN(20))*time.Millisecond, func() {
-		s.appendCommand(&wire.JobCommand{Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: submission, Home: home}}})
+		s.appendCommand(&wire.JobCommand{Body: &wire.JobCommand_Accept{Accept: &wire.JobAccept{Job: submission, Home: home, RunRange: s.log.runRange}}})
 	})
 }
 
@@ -249,13 +252,23 @@
 		for _, loss := range s.log.watch.Lost(s.now, open, linked) {
 			if candidates := homes.Candidates(s.now, linked, loss.Home); len(candidates) > 0 {
 				to := candidates[s.random.IntN(len(candidates))]
-				s.appendCommand(&wire.JobCommand{Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: loss.Home, To: to}}})
+				s.appendCommand(&wire.JobCommand{Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: loss.Home, To: to, RunRange: s.log.runRange}}})
 			}
 		}
 		s.checkHomes()
 	})
 }
 
+// moveStoredJobs moves the stored jobs of a coordinator to another one, at its request.
+func (s *simulation) moveStoredJobs(c *simCoordinator) {
+	to := s.coordinators[s.random.IntN(len(s.coordinators))]
+	if to == c || to.down || to.paused || to.isolated || to.detached {
+		return // the home asks again
+	}
+	s.log.moves++
+	s.propose(c, &wire.JobCommand{Body: &wire.JobCommand_Move{Move: &wire.HomeMove{From: c.home(), To: to.home(), RunRange: s.log.runRange}}}, nil)
+}
+
 // detach keeps a coordinator from applying the log and from appending to it; its links
 // stay up.
 func (s *simulation) detach(c *simCoordinator) { c.detached = true }
--- a/placement/simulation_test.go
+++ b/placement/simulation_test.go
@@ -45,37 +45,38 @@
 // checks that targets stay within their capacity, that no task runs twice at
 // the same time, and that every submission has at most one answer.
 type simulation struct {
-	random       *rand.Rand
-	now          time.Duration
-	events       eventQueue
-	seq          int
-	coordinators []*simCoordinator
-	targets      []*simTarget
-	answers      map[placement.Caller]int
-	unanswered   map[placement.Caller]string // jobs without an answer
-	jobs         map[string]placement.Job
-	checks       int
-	completed    int
-	refused      int
-	delays       map[string]time.Duration
-	lastRef      uint64
-	violations   []string
-	lossRate     float64 // share of orders that get no response and may be carried out late
-	failureRate  float64 // share of runs that fail
-	storedShare  float64 // share of jobs that are stored
-	longestRun   time.Duration
-	progress     bool // targets list the progress of runs
-	queueOrder   placement.QueueOrder
-	work         func(task string) time.Duration // nil: random
-	steps        func() []placement.Step         // of a new job; nil: one step without conditions
-	answered     func(placement.AnswerJob)       // nil: aborted jobs are submitted again
-	started      func(placement.StartOrder)      // of each start; may be nil
-	sparseChecks bool                            // runs are compared between targets at every 100th event
-	clockSpread  time.Duration                   // largest error of a coordinator's time of day
-	log          *simLog
-	crashes      *simCrashes
-	evacuations  simEvacuations
-	documents    simDocuments
+	random        *rand.Rand
+	now           time.Duration
+	events        eventQueue
+	seq           int
+	coordinators  []*simCoordinator
+	targets       []*simTarget
+	answers       map[placement.Caller]int
+	unanswered    map[placement.Caller]string // jobs without an answer
+	jobs          map[string]placement.Job
+	checks        int
+	completed     int
+	refused       int
+	delays        map[string]time.Duration
+	lastRef       uint64
+	violations    []string
+	lossRate      float64 // share of orders that get no response and may be carried out late
+	failureRate   float64 // share of runs that fail
+	storedShare   float64 // share of jobs that are stored
+	longestRun    time.Duration
+	progress      bool // targets list the progress of runs
+	queueOrder    placement.QueueOrder
+	work          func(task string) time.Duration // nil: random
+	steps         func() []placement.Step         // of a new job; nil: one step without conditions
+	answered      func(placement.AnswerJob)       // nil: aborted jobs are submitted again
+	started       func(placement.StartOrder)      // of each start; may be nil
+	sparseChecks  bool                            // runs are compared between targets at every 100th event
+	refusesStarts bool                            // all targets refuse starts
+	clockSpread   time.Duration                   // largest error of a coordinator's time of day
+	log           *simLog
+	crashes       *simCrashes
+	evacuations   simEvacuations
+	documents     simDocuments
 }
 
 type simCoordinator struct {
@@ -278,7 +279,12 @@
 		if s.started != nil {
 			s.started(e)
 		}
-		s.order(c, e.Target.ID, e.Order, e.Timeout, func(r *emulator.Runner) placement.OrderResponse { return r.Start(s.now, &e) })
+		s.order(c, e.Target.ID, e.Order, e.Timeout, func(r *emulator.Runner) placement.OrderResponse {
+			if s.refusesStarts {
+				return placement.OrderResponse{Order: e.Order, Result: placement.NoCapacity, ClockMS: r.ClockMS(s.now)}
+			}
+			return r.Start(s.now, &e)
+		})
 	case placement.StopOrder:
 		s.order(c, e.Target.ID, e.Order, e.Timeout, func(r *emulator.Runner) placement.OrderResponse { return r.Stop(s.now, &e) })
 	case placement.PollOrder:
@@ -300,6 +306,8 @@
 		s.giveUp(c, &e)
 	case placement.RecordLoss:
 		s.recordLoss(c, &e)
+	case placement.MoveStoredJobs:
+		s.moveStoredJobs(c)
 	case placement.Decision:
 		if e.Event == "job_overdue" {
 			s.violations = append(s.violations, "job "+e.Job+" is overdue: a run's end was never reported")
--- a/placement/stored.go
+++ b/placement/stored.go
@@ -22,8 +22,11 @@
 	Job   Job // only its ID once it has ended
 	Home  string
 	Epoch int // number of moves to other homes
-	Ended bool
-	Tasks [][]TaskProgress // by step
+	// RunLimit is the highest run number that the home may order. A later home takes the
+	// end of a higher one for that of its own run.
+	RunLimit int
+	Ended    bool
+	Tasks    [][]TaskProgress // by step
 }
 
 // TaskProgress is the state of a stored job's task in the log.
@@ -136,7 +139,7 @@
 // before it orders any.
 func (c *Core) adoptJob(e *StoredJobChanged) {
 	j := newJob(&e.Job, c.now)
-	j.answered, j.epoch = true, e.Epoch
+	j.answered, j.epoch, j.runLimit = true, e.Epoch, e.RunLimit
 	var notBefore time.Duration
 	if e.Epoch > 0 {
 		notBefore = c.now + c.takeOverDelay()
@@ -225,6 +228,26 @@
 	c.enqueue(t.job)
 }
 
+// MoveStoredJobs requests that the stored jobs here get another home.
+type MoveStoredJobs struct{}
+
+// moveRetryDelay is the pause between two requests to move the stored jobs.
+const moveRetryDelay = time.Second
+
+// hasRunNumber reports whether the home may order another run of a task. Once it has used
+// its range of run numbers up, the next home gets a new one.
+func (c *Core) hasRunNumber(t *task) bool {
+	if !t.job.Stored || t.runs < t.job.runLimit {
+		return true
+	}
+	if c.moveRequestedAt == 0 || c.now-c.moveRequestedAt >= moveRetryDelay {
+		c.moveRequestedAt = c.now
+		c.logDecision(Decision{Event: "run_numbers_used_up", Job: t.job.ID, Task: t.name(), Age: c.now - t.job.submittedAt, Value: int64(t.runs)})
+		c.emit(MoveStoredJobs{})
+	}
+	return false
+}
+
 // giveUpLastRun requests a record that the task's last run no longer counts.
 func (c *Core) giveUpLastRun(t *task) {
 	c.emit(GiveUpRun{Task: t.name(), Run: t.runs, Loss: t.lossOf(t.runs)})
--- a/placement/stored_test.go
+++ b/placement/stored_test.go
@@ -18,7 +18,7 @@
 func storedChanged(home string, epoch int, progress placement.TaskProgress) placement.StoredJobChanged {
 	j := job(storedID, 1)
 	j.Stored = true
-	return placement.StoredJobChanged{Job: j, Home: home, Epoch: epoch, Tasks: [][]placement.TaskProgress{{progress}}}
+	return placement.StoredJobChanged{Job: j, Home: home, Epoch: epoch, RunLimit: 1000 * (epoch + 1), Tasks: [][]placement.TaskProgress{{progress}}}
 }
 
 // store adds a stored job to the harness, whose home is confirmed.
--- a/placement/suspects.go
+++ b/placement/suspects.go
@@ -263,6 +263,9 @@
 
 // placeTrial starts a task alone on a target, or sets a target aside for it.
 func (c *Core) placeTrial(t *task, requests map[string][]Placement) {
+	if !c.hasRunNumber(t) {
+		return
+	}
 	best, ok := c.trialCandidate(t)
 	if !ok {
 		return
