placement: announce targets again that time alone makes usable

What would be seen: a coordinator without jobs of its own whose targets were paused for a moment (failed runs, a refused connection, a heartbeat that is late) does not offer them to the others again until something else changes there. Stored jobs elsewhere wait for them. Cause: a target's use ends with an event, which announces the change, but begins again by the clock, which announces nothing. Change: each tick compares whether a target is usable with what was announced. Result: the spec "are announced again once their pause is over" fails without the change and passes with it.

--- a/placement/core.go
+++ b/placement/core.go
@@ -176,6 +176,9 @@
 	c.sendReports()
 	if c.availabilityDirty {
 		c.availabilityDirty = false
+		for _, t := range c.targets {
+			t.announcedUsable = t.usable(c.now)
+		}
 		c.emit(AvailabilityChanged{})
 	}
 	effects := c.effects
@@ -308,6 +311,7 @@
 			continue
 		}
 		c.checkUnacked(t)
+		c.checkUsable(t)
 	}
 	c.pollFences()
 	c.suspendStored()
--- a/placement/lend_test.go
+++ b/placement/lend_test.go
@@ -182,3 +182,24 @@
 		Expect(take[placement.RequestPlacements](h)).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("available targets", func() {
+	// Guards against targets that others do not use for as long as nothing else changes
+	// here: a target that was unavailable for a moment is usable again.
+	It("are announced again once their pause is over", func() {
+		h := newHarness()
+		h.acquire("t")
+		h.submitPatient(1)
+		start := take[placement.StartOrder](h)[0]
+		h.step(time.Millisecond, placement.OrderResponse{Order: start.Order, Result: placement.Unavailable})
+		h.step(0, placement.Withdraw{Caller: placement.Caller{Gateway: "g", Ref: 1}})
+		h.step(20*time.Millisecond, placement.Tick{})
+		Expect(h.core.AvailableTargets()).To(BeEmpty())
+		take[placement.AvailabilityChanged](h)
+		h.wait(400 * time.Millisecond)
+		Expect(take[placement.AvailabilityChanged](h)).To(BeEmpty())
+		h.wait(200 * time.Millisecond)
+		Expect(h.core.AvailableTargets()).To(HaveLen(1))
+		Expect(take[placement.AvailabilityChanged](h)).NotTo(BeEmpty())
+	})
+})
--- a/placement/target.go
+++ b/placement/target.go
@@ -50,34 +50,35 @@
 // target is a target that this coordinator owns or is about to own.
 type target struct {
 	Description
-	state          targetState
-	heartbeatAt    time.Duration // last heartbeat
-	token          uint64
-	tokenAt        time.Duration // when the token was chosen
-	lastEndNumber  uint64        // of the highest end processed
-	ackedEndNumber uint64        // of the highest end acknowledged by a successful poll
-	endsTruncated  bool          // the last list of ends may have left some out
-	clockMS        int64         // lower bound of the target's clock at clockAt
-	clockAt        time.Duration
-	leaseEnd       time.Duration // every run has ended by then unless an order extends the lease
-	expiresMS      int64         // end of the last lease on the target's clock
-	runs           map[runKey]*run
-	used           Resources
-	unacked        map[uint64]*unackedEnd // ends that the target has to keep, by number
-	poll           uint64                 // order of the outstanding poll; 0: none
-	polledAt       time.Duration          // when the last poll completed
-	failedPolls    int                    // failed polls in a row
-	otherBoot      *Description           // last heartbeat of another boot that may be the later one
-	bootPoll       uint64                 // outstanding poll of that boot; 0: none
-	owned          bool                   // has been ready under this coordinator
-	health         health
-	speed          targetSpeed
-	restored       bool          // no heartbeat has arrived at this process
-	refuses        bool          // the last order found no process at the address
-	lateStartUntil time.Duration // until then a start without a response may arrive
-	reservedUntil  time.Duration // until then only a run that has to be alone may be started
-	evacuated      bool          // its data centre is, see updateEvacuated
-	coldUntil      time.Duration // slow until then
+	state           targetState
+	heartbeatAt     time.Duration // last heartbeat
+	token           uint64
+	tokenAt         time.Duration // when the token was chosen
+	lastEndNumber   uint64        // of the highest end processed
+	ackedEndNumber  uint64        // of the highest end acknowledged by a successful poll
+	endsTruncated   bool          // the last list of ends may have left some out
+	clockMS         int64         // lower bound of the target's clock at clockAt
+	clockAt         time.Duration
+	leaseEnd        time.Duration // every run has ended by then unless an order extends the lease
+	expiresMS       int64         // end of the last lease on the target's clock
+	runs            map[runKey]*run
+	used            Resources
+	unacked         map[uint64]*unackedEnd // ends that the target has to keep, by number
+	poll            uint64                 // order of the outstanding poll; 0: none
+	polledAt        time.Duration          // when the last poll completed
+	failedPolls     int                    // failed polls in a row
+	otherBoot       *Description           // last heartbeat of another boot that may be the later one
+	bootPoll        uint64                 // outstanding poll of that boot; 0: none
+	owned           bool                   // has been ready under this coordinator
+	announcedUsable bool                   // at the last AvailabilityChanged
+	health          health
+	speed           targetSpeed
+	restored        bool          // no heartbeat has arrived at this process
+	refuses         bool          // the last order found no process at the address
+	lateStartUntil  time.Duration // until then a start without a response may arrive
+	reservedUntil   time.Duration // until then only a run that has to be alone may be started
+	evacuated       bool          // its data centre is, see updateEvacuated
+	coldUntil       time.Duration // slow until then
 	// reportedColdUntil is the end of the cold time as last reported before warmedUp.
 	reportedColdUntil time.Duration
 	warmedUp          bool // has ended a run in the expected time in this cold time
@@ -151,6 +152,14 @@
 		now-t.heartbeatAt < heartbeatTimeout && t.health.admits(now, len(t.runs))
 }
 
+// checkUsable announces a target whose use begins or ends by the passage of time alone, as
+// after a pause for failed runs. Without other changes here the others would not learn it.
+func (c *Core) checkUsable(t *target) {
+	if t.usable(c.now) != t.announcedUsable {
+		c.availabilityChanged()
+	}
+}
+
 // matches reports whether the target may run tasks with a requirement.
 func matches(labels []string, requirement string) bool {
 	return requirement == "" || slices.Contains(labels, requirement)
