placement: keep the redirect for tasks whose conditions do not depend on the target

Change: the owner uses another target for a task without a limit for each target and without suspicion, from a home that sends limits. All others get the chosen target or none. A step's pause at a target begins with the second refusal in a row. The schedules of conditions check the rule.

--- a/placement/fleet_test.go
+++ b/placement/fleet_test.go
@@ -74,6 +74,14 @@
 		}))
 		f.tick(i)
 	}
+	for i := range f.cores {
+		for j := range f.cores {
+			if i != j {
+				f.cores[i].Step(f.now, placement.PeerConnected{Peer: fmt.Sprintf("c%d", j), ChecksStepLimits: true})
+			}
+		}
+		f.cores[i].Ready() // it has no targets to announce yet
+	}
 	for i, factor := range slowness {
 		f.addTarget(i, factor)
 	}
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -120,7 +120,7 @@
 func (c *Core) placementsRequested(e PlacementsRequested) {
 	for i := range e.Placements {
 		p := &e.Placements[i]
-		t, refusal := c.targetFor(p)
+		t, refusal := c.targetFor(e.Peer, p)
 		if t == nil || t.ID != p.Target {
 			// The home has taken the task's need off the target that it has chosen.
 			c.emit(AvailabilityCorrected{Target: p.Target})
@@ -140,10 +140,11 @@
 
 // targetFor returns the target for another home's task, or why there is none. Only the
 // owner sees all runs on a target, those of earlier homes and those that are being
-// stopped among them, so it checks each condition of the task there. It uses the target
-// that the home has chosen or none. A run that has to be alone may get any idle target:
-// no condition on other runs can fail there.
-func (c *Core) targetFor(p *Placement) (*target, string) {
+// stopped among them, so it checks each condition of the task there. It uses another
+// target than the home has chosen only if no condition depends on which one it is: the
+// home counts on its choice until the report of the start arrives. A home of an earlier
+// version does not send the limit of the step.
+func (c *Core) targetFor(home string, p *Placement) (*target, string) {
 	if c.draining {
 		return nil, "coordinator is leaving"
 	}
@@ -153,11 +154,36 @@
 		}
 		return nil, "no idle target"
 	}
-	t := c.targets[p.Target]
-	if refusal := c.refusalFor(t, p); refusal != "" {
-		return nil, refusal
+	chosen := c.targets[p.Target]
+	refusal := c.refusalFor(chosen, p)
+	if refusal == "" {
+		return chosen, ""
 	}
-	return t, ""
+	if p.PerTarget == 0 && !p.Suspect && c.checksStepLimits[home] {
+		if other := c.otherTarget(p); other != nil {
+			return other, ""
+		}
+	}
+	if chosen != nil && chosen.evacuated {
+		c.logDecision(Decision{Event: "start_withheld", Task: p.Task, Target: chosen.ID, Reason: refusal, Value: int64(p.Run)})
+	}
+	return nil, refusal
+}
+
+// otherTarget returns the target with the least free CPU time that may run another home's
+// task and is on the rack of its data.
+func (c *Core) otherTarget(p *Placement) *target {
+	var best *target
+	for _, id := range sortedKeys(c.targets) {
+		t := c.targets[id]
+		if id == p.Avoid || !onRack(t.Labels, p.Rack) || c.refusalFor(t, p) != "" {
+			continue
+		}
+		if best == nil || t.free().CPUMillis < best.free().CPUMillis {
+			best = t
+		}
+	}
+	return best
 }
 
 // refusalFor returns why another home's task may not start on a target; empty: it may.
@@ -166,9 +192,7 @@
 	case t == nil:
 		return "target is not owned here"
 	case t.evacuated:
-		reason := c.evacuationReason(t)
-		c.logDecision(Decision{Event: "start_withheld", Task: p.Task, Target: t.ID, Reason: reason, Value: int64(p.Run)})
-		return reason
+		return c.evacuationReason(t)
 	case t.Service != p.Service || !matches(t.Labels, p.Requirement):
 		return "target does not match"
 	case !p.Need.Fits(t.free()):
--- a/placement/refusals.go
+++ b/placement/refusals.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// firstRefusalPause is how long a step's tasks stay away from a target after a
-	// refusal. By then the home has the target's free capacity again, so that a refusal
-	// for a capacity that was gone costs no more than a round trip.
+	// firstRefusalPause is how long a step's tasks stay away from a target after the second
+	// refusal in a row. The first one mostly comes from a view that was old, and the home
+	// has the target's free capacity again by then.
 	firstRefusalPause = 20 * time.Millisecond
 	// longestRefusalPause bounds the pause, which doubles with each refusal in a row. The
 	// home does not see why such a target refuses, nor when the reason ends.
@@ -37,16 +37,16 @@
 	return len(t.job.refusals) > 0 && now < t.job.refusals[t.refusalKey(target)].until
 }
 
-// noteRefusal keeps tasks like this one away from the target that has refused it. A pause
-// starts short again if the last one ended longer ago than the longest pause.
+// noteRefusal keeps tasks like this one away from a target that refuses them repeatedly. A
+// refusal counts as the first one if the last pause ended longer ago than the longest one.
 func (t *task) noteRefusal(target string, now time.Duration) {
 	if t.job.refusals == nil {
 		t.job.refusals = refusals{}
 	}
 	key := t.refusalKey(target)
-	length := firstRefusalPause
+	var length time.Duration
 	if last, ok := t.job.refusals[key]; ok && now < last.until+longestRefusalPause {
-		length = min(2*last.length, longestRefusalPause)
+		length = min(max(2*last.length, firstRefusalPause), longestRefusalPause)
 	}
 	t.job.refusals[key] = refusalPause{length, now + length}
 }
--- a/placement/types.go
+++ b/placement/types.go
@@ -158,7 +158,7 @@
 	Expected    time.Duration
 	Requirement string
 	Rack        string
-	Target      string // chosen by the home; the owner uses another one only if Alone is set
+	Target      string // chosen by the home; see targetFor for when the owner uses another one
 	Avoid       string // target on which the task has failed
 	Stored      bool
 	Alone       bool // no other run may be on the target at the same time
