emulator, integration: steps with a limit for each target and a label in the soak

Change: the emulated target checks the label and the limit of a task's step at each start, in the schedules of placement and in the soak. The ID of a stored job in the soak decides what its step demands: half of them have a limit of one or two tasks, a quarter a label.

--- a/emulator/runner.go
+++ b/emulator/runner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"hawthornshore.example/placement"
@@ -52,6 +53,8 @@
 	Work func(task string, run int) (time.Duration, bool)
 	// Need returns the resources that a task uses.
 	Need func(task string) placement.Resources
+	// Conditions returns what the step of a task demands of a target; nil: nothing.
+	Conditions func(task string) Conditions
 	// Percent returns the progress to list for a share of a run's work; nil: always 0.
 	Percent func(share float64) int
 	// OnStart is called at the start of each run, OnEndAcked for each end that is
@@ -63,6 +66,12 @@
 	CrashAfter func(task string) (time.Duration, bool)
 }
 
+// Conditions are demands of a step on the target of a task.
+type Conditions struct {
+	Label     string // that the target must have; empty: none
+	PerTarget int    // most tasks of the step on one target; 0: no limit
+}
+
 type runKey struct {
 	task string
 	run  int
@@ -86,7 +95,7 @@
 // LimitListedEnds limits the number of ended runs in a list.
 func (r *Runner) LimitListedEnds(most int) { r.listedEnds = most }
 
-// Violations returns the violations of the runner's capacity so far.
+// Violations returns the violations of the runner's capacity and of steps' conditions.
 func (r *Runner) Violations() []string { return r.violations }
 
 // Advance ends the runs that are due at the given time.
@@ -213,6 +222,7 @@
 		return r.response(now, o.Order, placement.Stale)
 	}
 	r.checkCapacity(o.Task)
+	r.checkConditions(o.Task)
 	work, fails := r.options.Work(o.Task, o.Run)
 	run := &activeRun{started: now, work: work, endsAt: now + work}
 	if fails {
@@ -237,6 +247,30 @@
 	}
 }
 
+// checkConditions records a violation if a start breaks a condition of its step.
+func (r *Runner) checkConditions(task string) {
+	if r.options.Conditions == nil {
+		return
+	}
+	conditions := r.options.Conditions(task)
+	if label := conditions.Label; label != "" && !slices.Contains(r.Description.Labels, label) {
+		r.violations = append(r.violations, fmt.Sprintf("%s: task %s starts without label %s", r.Description.ID, task, label))
+	}
+	if conditions.PerTarget == 0 {
+		return
+	}
+	step := task[:strings.LastIndexByte(task, '.')+1]
+	count := 1
+	for key := range r.runs {
+		if strings.HasPrefix(key.task, step) {
+			count++
+		}
+	}
+	if count > conditions.PerTarget {
+		r.violations = append(r.violations, fmt.Sprintf("%s: runs %d tasks of step %s, limit %d", r.Description.ID, count, step, conditions.PerTarget))
+	}
+}
+
 // Stop executes a stop order.
 func (r *Runner) Stop(now time.Duration, o *placement.StopOrder) placement.OrderResponse {
 	r.Advance(now)
--- a/integration/deployment/calls.go
+++ b/integration/deployment/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"hawthornshore.example/placement"
 	"hawthornshore.example/platform/standin"
 )
 
@@ -27,11 +28,13 @@
 	return answer
 }
 
-// SubmitStored submits a job that has to be stored.
+// SubmitStored submits a job that has to be stored, with the conditions of its ID.
 func (d *Deployment) SubmitStored(ctx context.Context, gateway *Process, id string, tasks int) Answer {
 	answer := Answer{JobID: id, Tasks: tasks}
 	d.stored.Store(id, true)
-	answer.Status, answer.State, answer.Err = d.client.Submit(ctx, gateway.Machine.IP, id, tasks, taskResources(""), true)
+	conditions := conditionsOf(id)
+	step := placement.Step{Count: tasks, Need: taskResources(""), Requirement: conditions.Label, PerTarget: conditions.PerTarget}
+	answer.Status, answer.State, answer.Err = d.client.SubmitStep(ctx, gateway.Machine.IP, id, step, true)
 	return answer
 }
 
--- a/integration/deployment/deployment.go
+++ b/integration/deployment/deployment.go
@@ -139,7 +139,7 @@
 			Rack: fmt.Sprintf("r%d", i/4), Capacity: TargetCapacity,
 			Control: control, Epoch: d.epoch, Advertise: d.advertise, Deadly: d.isDeadly,
 			Runner: emulator.RunnerOptions{
-				Lease: time.Second, StopTime: 20 * time.Millisecond, Work: taskDuration, Need: taskResources,
+				Lease: time.Second, StopTime: 20 * time.Millisecond, Work: taskDuration, Need: taskResources, Conditions: d.conditions,
 				OnStart: d.runChecker.OnStart, OnEndAcked: d.runChecker.OnEndAcked,
 			},
 		})
@@ -172,6 +172,28 @@
 	return placement.Resources{CPUMillis: taskMillis, MemoryMB: taskMB}
 }
 
+// conditionsOf derives from the ID of a stored job what its step demands of a target:
+// of eight jobs two need a label, and four have a limit of one or two tasks for each target.
+func conditionsOf(id string) emulator.Conditions {
+	hash := fnv.New32a()
+	hash.Write([]byte(id))
+	drawn := hash.Sum32()
+	conditions := emulator.Conditions{PerTarget: max(int(drawn%4)-1, 0)}
+	if drawn/4%4 == 0 {
+		conditions.Label = "r0"
+	}
+	return conditions
+}
+
+// conditions returns what the step of a task demands of its target.
+func (d *Deployment) conditions(task string) emulator.Conditions {
+	id := placement.JobID(task)
+	if _, stored := d.stored.Load(id); !stored {
+		return emulator.Conditions{}
+	}
+	return conditionsOf(id)
+}
+
 // TargetCapacity is the capacity of a target at its start.
 var TargetCapacity = placement.Resources{CPUMillis: 32000, MemoryMB: 4096}
 
--- a/placement/simconditions_test.go
+++ b/placement/simconditions_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"hawthornshore.example/emulator"
 	"hawthornshore.example/placement"
 )
 
@@ -23,23 +23,10 @@
 	return &s.jobs[placement.JobID(task)].Steps[step]
 }
 
-// checkConditions records a violation if a task starts on a target that lacks its label,
-// or that runs more tasks of its step than the step allows.
-func (s *simulation) checkConditions(t *simTarget, task string) {
+// conditions returns what a task's step demands of a target.
+func (s *simulation) conditions(task string) emulator.Conditions {
 	step := s.submittedStep(task)
-	if step.Requirement != "" && !slices.Contains(t.runner.Description.Labels, step.Requirement) {
-		s.violations = append(s.violations, fmt.Sprintf("task %s starts on %s without label %s", task, t.runner.Description.ID, step.Requirement))
-	}
-	prefix := task[:strings.LastIndexByte(task, '.')+1]
-	count := 0
-	for _, other := range t.runner.RunningTasks() {
-		if strings.HasPrefix(other, prefix) {
-			count++
-		}
-	}
-	if step.PerTarget > 0 && count > step.PerTarget {
-		s.violations = append(s.violations, fmt.Sprintf("%s runs %d tasks of step %s, its limit is %d", t.runner.Description.ID, count, prefix, step.PerTarget))
-	}
+	return emulator.Conditions{Label: step.Requirement, PerTarget: step.PerTarget}
 }
 
 // conditionedSteps returns up to three random steps, one after the other, most of them
--- a/placement/simcrashes_test.go
+++ b/placement/simcrashes_test.go
@@ -94,12 +94,11 @@
 			return time.Duration(20+s.random.IntN(int(s.longestRun.Milliseconds())-20)) * time.Millisecond, s.random.Float64() < s.failureRate
 		},
 		Percent: s.percent,
-		Need:    s.need, OnEndAcked: s.log.OnEndAcked, CrashAfter: s.crashes.crashAfter,
+		Need:    s.need, Conditions: s.conditions, OnEndAcked: s.log.OnEndAcked, CrashAfter: s.crashes.crashAfter,
 		OnStart: func(now time.Duration, task string) {
 			s.log.OnStart(now, task)
 			s.evacuations.started(s, t, task)
 			s.documents.started(s, t, task)
-			s.checkConditions(t, task)
 			s.crashes.started(task)
 		},
 	})
