placement: name the event of each logged decision in place

Change: logRunEnded has both events as literals; a refused placement logs its reason alone. Result: go test ./apps passes; 19 specs of placement on refusals and stored jobs pass.

--- a/placement/home.go
+++ b/placement/home.go
@@ -332,17 +332,11 @@
 	if report.Kind == RunDone {
 		c.noteRemoteDone(t, &report)
 	}
+	if report.Kind == RunRejected {
+		t.noteRefusal(report.Target, c.now)
+	}
 	if report.Kind != RunDone {
-		event := "run_ended"
-		if report.Kind == RunRejected {
-			event = "placement_refused"
-			t.noteRefusal(report.Target, c.now)
-		}
-		c.logDecision(Decision{
-			Event: event, Job: j.ID, Task: t.name(), Target: report.Target, Peer: t.peer,
-			Reason: report.Kind.String() + " " + report.Reason, Age: c.now - j.submittedAt, Value: int64(t.runs),
-			SafeAfter: report.SafeAfter,
-		})
+		c.logRunEnded(t, &report)
 	}
 	if j.Stored {
 		c.storedRunEnded(t, &report)
@@ -384,6 +378,17 @@
 	}
 }
 
+// logRunEnded logs a run that has ended otherwise than as done, or was not started.
+func (c *Core) logRunEnded(t *task, report *Report) {
+	d := Decision{Event: "run_ended", Reason: report.Kind.String() + " " + report.Reason}
+	if report.Kind == RunRejected {
+		d = Decision{Event: "placement_refused", Reason: report.Reason}
+	}
+	d.Job, d.Task, d.Target, d.Peer = t.job.ID, t.name(), report.Target, t.peer
+	d.Age, d.Value, d.SafeAfter = c.now-t.job.submittedAt, int64(t.runs), report.SafeAfter
+	c.logDecision(d)
+}
+
 // enqueueNextSteps queues a job whose next steps may be ready.
 func (c *Core) enqueueNextSteps(j *job) {
 	if len(j.Steps) > 1 {
